Add the workspace, shared types and interfaces

Cause: the repository was empty. Change: nine libraries under packages/ with an enforced import order, the data classes they share, and the abstract interfaces of the platform and of the decisions.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := types decisions config platform links state daemon cli standins
+SOURCES := packages bench demo proofs tests
+
+.PHONY: setup test check demo proofs bench soak format
+
+setup: $(VENV)/installed
+
+$(VENV)/installed: constraints.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --disable-pip-version-check -c constraints.txt -r requirements-dev.txt
+	$(BIN)/pip install -q --disable-pip-version-check --no-build-isolation -c constraints.txt $(foreach p,$(PACKAGES),-e packages/currantreach-$(p))
+	touch $@
+
+format: setup
+	$(BIN)/ruff check -q --fix $(wildcard $(SOURCES))
+	$(BIN)/ruff format -q $(wildcard $(SOURCES))
+
+check: setup
+	$(BIN)/ruff format --check $(wildcard $(SOURCES))
+	$(BIN)/ruff check $(wildcard $(SOURCES))
+	$(BIN)/flake8 $(wildcard $(SOURCES))
+	$(BIN)/mypy $(wildcard packages/*/src)
+	$(BIN)/lint-imports
+
+test: setup
+	$(BIN)/python -m pytest
+
+demo: setup
+	$(BIN)/python -m demo
+
+proofs: setup
+	$(BIN)/python -m proofs
+
+bench: setup
+	$(BIN)/python -m bench
+
+soak: setup
+	$(BIN)/python -m pytest --hypothesis-seed=$(SEED) --hypothesis-profile=soak packages
--- /dev/null
+++ b/packages/currantreach-cli/src/currantreach_cli/__init__.py
@@ -0,0 +1,3 @@
+"""The command line for operators and callers."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/currantreach-daemon/src/currantreach_daemon/__init__.py
@@ -0,0 +1,3 @@
+"""The currantreach daemon."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_scheduler.py
@@ -0,0 +1,154 @@
+"""Interface between an owner and its decisions."""
+
+from __future__ import annotations
+
+import abc
+import enum
+from typing import TYPE_CHECKING
+
+import attrs
+from currantreach_types import Refusal, Resources, TaskSpec, WorkerInfo
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+__all__ = (
+    'Decisions',
+    'Placement',
+    'Preemption',
+    'Scheduler',
+    'TaskEnd',
+    'TeamTerms',
+)
+
+
+class TaskEnd(enum.StrEnum):
+    """Ways in which a placed task gives back its room."""
+
+    finished = 'finished'
+    failed = 'failed'
+    not_started = 'not_started'
+    lost = 'lost'
+    checkpointed = 'checkpointed'
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class TeamTerms:
+    """What a team may use in this partition.
+
+    :ivar share: weight of the team when the fleet is full, above zero.
+    :ivar allotment: part of the team's upper limit held by this partition.
+    """
+
+    share: float
+    allotment: Resources
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class Placement:
+    """Room that was set aside for one task.
+
+    :ivar task_id: id of the task.
+    :ivar spec: the request that it belongs to.
+    :ivar worker: name of the worker.
+    :ivar resources: room that was set aside, at least what is declared.
+    """
+
+    task_id: str
+    spec: TaskSpec
+    worker: str
+    resources: Resources
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class Preemption:
+    """Task that has to checkpoint so that others get their share."""
+
+    task_id: str
+    worker: str
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class Decisions:
+    """Result of one round.
+
+    :ivar placements: tasks to start; those of one gang come together.
+    :ivar refused: request ids that left the queue, with the reason.
+    :ivar preemptions: running tasks to checkpoint.
+    """
+
+    placements: tuple[Placement, ...] = ()
+    refused: tuple[tuple[str, Refusal], ...] = ()
+    preemptions: tuple[Preemption, ...] = ()
+
+
+class Scheduler(abc.ABC):
+    """Queue and room of one partition.
+
+    All calls come from one asyncio task; none of them blocks. ``now_s`` is
+    monotonic time in seconds.
+    """
+
+    @abc.abstractmethod
+    def set_teams(self, teams: Mapping[str, TeamTerms]) -> None:
+        """Replace the terms of all teams."""
+
+    @abc.abstractmethod
+    def set_worker(self, worker: WorkerInfo, *, is_open: bool) -> None:
+        """Add or update a worker; a closed one receives no new task."""
+
+    @abc.abstractmethod
+    def remove_worker(self, name: str) -> tuple[str, ...]:
+        """Remove a worker and return the ids of the tasks placed on it.
+
+        The tasks keep counting for their team until :meth:`end_task`.
+        """
+
+    @abc.abstractmethod
+    def submit(self, spec: TaskSpec, now_s: float) -> Refusal | None:
+        """Queue a request, or say why it is refused."""
+
+    @abc.abstractmethod
+    def recover(self, placement: Placement, now_s: float) -> None:
+        """Count a task that was found on a worker, without starting it."""
+
+    @abc.abstractmethod
+    def cancel(self, request_ids: Sequence[str]) -> tuple[str, ...]:
+        """Remove waiting requests and return the ids that were waiting."""
+
+    @abc.abstractmethod
+    def decide(self, now_s: float) -> Decisions:
+        """Set aside room for waiting tasks as far as it reaches."""
+
+    @abc.abstractmethod
+    def end_task(self, task_id: str, end: TaskEnd, now_s: float) -> None:
+        """Give back the room of a task.
+
+        A task that was ``not_started``, ``lost`` or ``checkpointed`` is not
+        queued again by itself; the owner submits its request again.
+        """
+
+    @abc.abstractmethod
+    def observe(
+        self,
+        task_id: str,
+        observed: Resources,
+        now_s: float,
+    ) -> None:
+        """Learn from a lagging usage report of a running task."""
+
+    @abc.abstractmethod
+    def usage(self) -> Mapping[str, Resources]:
+        """Return the room taken by each team."""
+
+    @abc.abstractmethod
+    def demand(self) -> Mapping[str, Resources]:
+        """Return the room that each team's waiting requests ask for."""
+
+    @abc.abstractmethod
+    def explain(self, request_id: str, now_s: float) -> str:
+        """Say which constraint keeps a request waiting."""
+
+    @abc.abstractmethod
+    def waiting_count(self) -> int:
+        """Return the number of waiting requests."""
--- /dev/null
+++ b/packages/currantreach-links/src/currantreach_links/__init__.py
@@ -0,0 +1,3 @@
+"""Authenticated links between daemons."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/currantreach-platform/src/currantreach_platform/__init__.py
@@ -0,0 +1,9 @@
+"""Clients of the platform: store, host list and workers."""
+
+from __future__ import annotations
+
+from currantreach_platform._hosts import HostList
+from currantreach_platform._store import KeyValue, Store, WatchResult
+from currantreach_platform._workers import WorkerClient
+
+__all__ = ('HostList', 'KeyValue', 'Store', 'WatchResult', 'WorkerClient')
--- /dev/null
+++ b/packages/currantreach-types/src/currantreach_types/_clock.py
@@ -0,0 +1,40 @@
+"""Clocks that are passed to code whose behaviour depends on time."""
+
+from __future__ import annotations
+
+import abc
+import time
+
+__all__ = ('Clock', 'ManualClock', 'MonotonicClock')
+
+
+class Clock(abc.ABC):
+    """Source of monotonic time."""
+
+    @abc.abstractmethod
+    def now_s(self) -> float:
+        """Return the monotonic time in seconds."""
+
+
+class MonotonicClock(Clock):
+    """Clock of the operating system."""
+
+    def now_s(self) -> float:
+        """Return the monotonic time in seconds."""
+        return time.monotonic()
+
+
+class ManualClock(Clock):
+    """Clock that only moves when it is told to, for tests."""
+
+    def __init__(self, start_s: float = 0) -> None:
+        """Start the clock at ``start_s`` seconds."""
+        self._now_s = start_s
+
+    def now_s(self) -> float:
+        """Return the monotonic time in seconds."""
+        return self._now_s
+
+    def advance(self, step_s: float) -> None:
+        """Move the clock forward by ``step_s`` seconds."""
+        self._now_s += step_s
--- /dev/null
+++ b/packages/currantreach-types/src/currantreach_types/_codec.py
@@ -0,0 +1,50 @@
+"""JSON and MessagePack encoding of attrs classes."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import msgspec
+
+from currantreach_types._errors import MalformedMessageError
+
+__all__ = (
+    'decode_json',
+    'decode_packed',
+    'encode_json',
+    'encode_packed',
+)
+
+_Decoded = TypeVar('_Decoded')
+
+
+def encode_json(message: object) -> bytes:
+    """Encode a message as JSON."""
+    return msgspec.json.encode(message)
+
+
+def decode_json(body: bytes | str, kind: type[_Decoded]) -> _Decoded:
+    """Decode JSON into ``kind``.
+
+    :raises MalformedMessageError: if the body does not match ``kind``.
+    """
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
+        raise MalformedMessageError(f'{exc}; correct this field') from exc
+
+
+def encode_packed(message: object) -> bytes:
+    """Encode a message as MessagePack."""
+    return msgspec.msgpack.encode(message)
+
+
+def decode_packed(body: bytes, kind: type[_Decoded]) -> _Decoded:
+    """Decode MessagePack into ``kind``.
+
+    :raises MalformedMessageError: if the body does not match ``kind``.
+    """
+    try:
+        return msgspec.msgpack.decode(body, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
+        raise MalformedMessageError(f'{exc}; correct this field') from exc
--- /dev/null
+++ b/packages/currantreach-types/src/currantreach_types/_errors.py
@@ -0,0 +1,64 @@
+"""Typed errors; each message names the remedy."""
+
+from __future__ import annotations
+
+__all__ = (
+    'ConfigurationError',
+    'ConflictError',
+    'CurrantreachError',
+    'LinkError',
+    'LostAnswerError',
+    'MalformedMessageError',
+    'PlatformError',
+    'StaleEpochError',
+    'StoreUnavailableError',
+    'WorkerUnavailableError',
+)
+
+
+class CurrantreachError(Exception):
+    """Base class of all errors raised by currantreach."""
+
+
+class ConfigurationError(CurrantreachError):
+    """A configuration or settings file has one or more faults."""
+
+
+class MalformedMessageError(CurrantreachError):
+    """A message cannot be decoded or fails its authentication."""
+
+
+class LinkError(CurrantreachError):
+    """A peer did not answer in time or the link to it is closed."""
+
+
+class PlatformError(CurrantreachError):
+    """Base class of errors of the platform's services."""
+
+
+class StoreUnavailableError(PlatformError):
+    """The store refused or never received the call; nothing was written."""
+
+
+class LostAnswerError(PlatformError):
+    """No answer arrived; the call may or may not have taken effect."""
+
+
+class ConflictError(PlatformError):
+    """A compare-and-swap found another revision.
+
+    :ivar current_revision: revision of the key in the store, 0 if absent.
+    """
+
+    def __init__(self, message: str, current_revision: int) -> None:
+        """Keep the revision that won."""
+        super().__init__(message)
+        self.current_revision = current_revision
+
+
+class WorkerUnavailableError(PlatformError):
+    """A worker did not answer; what was asked of it is unknown."""
+
+
+class StaleEpochError(PlatformError):
+    """A worker or record is already governed by a higher epoch."""
--- /dev/null
+++ b/packages/currantreach-types/src/currantreach_types/errors.py
@@ -0,0 +1,29 @@
+"""Typed errors of all packages; each message names the remedy."""
+
+from __future__ import annotations
+
+from currantreach_types._errors import (
+    ConfigurationError,
+    ConflictError,
+    CurrantreachError,
+    LinkError,
+    LostAnswerError,
+    MalformedMessageError,
+    PlatformError,
+    StaleEpochError,
+    StoreUnavailableError,
+    WorkerUnavailableError,
+)
+
+__all__ = (
+    'ConfigurationError',
+    'ConflictError',
+    'CurrantreachError',
+    'LinkError',
+    'LostAnswerError',
+    'MalformedMessageError',
+    'PlatformError',
+    'StaleEpochError',
+    'StoreUnavailableError',
+    'WorkerUnavailableError',
+)
