Add configuration files, keys and daemon settings

The daemon and the command line need one checked configuration, keys that can be withdrawn for good, and settings of each daemon.

A base file and its overlays are parsed, checked against the attrs classes and merged; all faults are reported together with file, path, value and remedy. Overlays lower limits and tune queues, but access rules, keys and the list of teams stay in the base file.

--- a/packages/currantreach-config/src/currantreach_config/_model.py
+++ b/packages/currantreach-config/src/currantreach_config/_model.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import enum
+from typing import Final
 
 import attrs
 from currantreach_types import PolicyKind, Resources
 
+from currantreach_config._rules import HASH_HEX, NAME, SALT_HEX, rule
+
 __all__ = (
     'CellConfig',
     'ConfigRecord',
@@ -17,6 +20,21 @@
     'TeamConfig',
 )
 
+_WEEK_S: Final = 604800
+_HOUR_S: Final = 3600
+_MILLION: Final = 1_000_000
+_CONNECTIONS_MOST: Final = 100_000
+_HEADER_BYTES: Final = 8192
+_HEADER_MOST_BYTES: Final = 65536
+_BODY_BYTES: Final = 262144
+_QUEUE_LIMIT: Final = 10000
+_RETRY_RATIO: Final = 0.2
+# Daemons poll the store with a timeout of 2 s; a shorter limit would refuse
+# work between two polls. A longer one would break the promise that changes
+# are in effect everywhere within 14 s.
+_FRESHNESS_LEAST_S: Final = 3
+_FRESHNESS_MOST_S: Final = 14
+
 
 class KeyRole(enum.StrEnum):
     """What the holder of a key may do."""
@@ -33,14 +51,14 @@
     :ivar team: team of a caller key, empty for an operator key.
     :ivar role: what the holder may do.
     :ivar salt_hex: random salt.
-    :ivar hash_hex: SHA-256 of salt and secret.
+    :ivar hash_hex: SHA-256 of the salt followed by the secret.
     """
 
-    key_id: str
+    key_id: str = attrs.field(metadata=rule(pattern=NAME))
     team: str
     role: KeyRole
-    salt_hex: str
-    hash_hex: str
+    salt_hex: str = attrs.field(metadata=rule(pattern=SALT_HEX))
+    hash_hex: str = attrs.field(metadata=rule(pattern=HASH_HEX))
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -53,10 +71,13 @@
     :ivar request_limit: requests in progress at one entry host at most.
     """
 
-    name: str
-    share: float
+    name: str = attrs.field(metadata=rule(pattern=NAME))
+    share: float = attrs.field(metadata=rule(above=0, most=_MILLION))
     upper_limit: Resources
-    request_limit: int = 1000
+    request_limit: int = attrs.field(
+        default=1000,
+        metadata=rule(least=1, most=_MILLION),
+    )
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -72,26 +93,71 @@
     :ivar default_deadline_s: latest start of requests that name none.
     """
 
-    name: str
+    name: str = attrs.field(metadata=rule(pattern=NAME))
     policy: PolicyKind
-    teams: tuple[str, ...] = ()
-    is_open: bool = False
-    open_team: str = ''
-    queue_limit: int = 10000
-    default_deadline_s: float | None = None
+    teams: tuple[str, ...] = attrs.field(
+        default=(),
+        metadata=rule(is_base_only=True),
+    )
+    is_open: bool = attrs.field(
+        default=False,
+        metadata=rule(is_base_only=True),
+    )
+    open_team: str = attrs.field(
+        default='',
+        metadata=rule(is_base_only=True),
+    )
+    queue_limit: int = attrs.field(
+        default=_QUEUE_LIMIT,
+        metadata=rule(least=1, most=_MILLION),
+    )
+    default_deadline_s: float | None = attrs.field(
+        default=None,
+        metadata=rule(above=0, most=_WEEK_S),
+    )
 
 
 @attrs.frozen(slots=True, kw_only=True)
 class LimitsConfig:
-    """Limits on what callers may send and on retries."""
+    """Limits on what callers may send and on retries.
+
+    :ivar body_limit_bytes: largest request body.
+    :ivar header_limit_bytes: largest request header.
+    :ivar connection_limit: open caller connections of one daemon.
+    :ivar retry_budget_ratio: retries per first request of a team.
+    :ivar result_retention_s: time that results are kept.
+    :ivar config_freshness_s: age of the proof of a current configuration.
+    :ivar outage_limit_s: time that owners run without the store.
+    """
 
-    body_limit_bytes: int = 262144
-    header_limit_bytes: int = 8192
-    connection_limit: int = 1000
-    retry_budget_ratio: float = 0.2
-    result_retention_s: float = 3600
-    config_freshness_s: float = 5
-    outage_limit_s: float = 3600
+    body_limit_bytes: int = attrs.field(
+        default=_BODY_BYTES,
+        metadata=rule(least=1024, most=_MILLION),
+    )
+    header_limit_bytes: int = attrs.field(
+        default=_HEADER_BYTES,
+        metadata=rule(least=1024, most=_HEADER_MOST_BYTES),
+    )
+    connection_limit: int = attrs.field(
+        default=1000,
+        metadata=rule(least=1, most=_CONNECTIONS_MOST),
+    )
+    retry_budget_ratio: float = attrs.field(
+        default=_RETRY_RATIO,
+        metadata=rule(least=0, most=1),
+    )
+    result_retention_s: float = attrs.field(
+        default=_HOUR_S,
+        metadata=rule(above=0, most=_WEEK_S),
+    )
+    config_freshness_s: float = attrs.field(
+        default=5,
+        metadata=rule(least=_FRESHNESS_LEAST_S, most=_FRESHNESS_MOST_S),
+    )
+    outage_limit_s: float = attrs.field(
+        default=_HOUR_S,
+        metadata=rule(above=0, most=_WEEK_S),
+    )
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -105,10 +171,13 @@
     :ivar limits: limits of the entry hosts.
     """
 
-    site: str
+    site: str = attrs.field(metadata=rule(pattern=NAME))
     teams: tuple[TeamConfig, ...]
     queues: tuple[QueueConfig, ...]
-    keys: tuple[KeyRecord, ...] = ()
+    keys: tuple[KeyRecord, ...] = attrs.field(
+        default=(),
+        metadata=rule(is_base_only=True),
+    )
     limits: LimitsConfig = LimitsConfig()
 
 
