Add example configurations of both sites

Operators and the demo need a working base file, overlay, keys and daemon settings for each site. The demo tokens are published and marked as such; one settings file is given for each failure domain.

--- /dev/null
+++ b/packages/currantreach-config/tests/test_examples.py
@@ -0,0 +1,49 @@
+"""Tests of the example configurations."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+from currantreach_config import (
+    KeyRing,
+    KeyRole,
+    check_files,
+    first_record,
+    load_settings,
+    peer_secret_of,
+)
+
+_EXAMPLES = Path(__file__).parents[3] / 'examples'
+
+
+@pytest.mark.parametrize(
+    ('site', 'domain_count'),
+    [('agency', 3), ('prunelle', 4)],
+)
+def test_example_is_complete(site, domain_count):
+    """Guard against an example that the daemon or its keys would refuse."""
+    folder = _EXAMPLES / site
+    cell = check_files(folder / 'base.json', [folder / 'overlay.json'])
+    ring = KeyRing(first_record(cell, change_id='demo', author=''))
+    demo = json.loads((folder / 'demo-keys.json').read_text())
+
+    assert set(demo['teams']) == {team.name for team in cell.teams}
+    assert len(cell.teams) == 6
+    for team, token in demo['teams'].items():
+        assert ring.check(token).team == team
+    assert ring.check(demo['operator']).role is KeyRole.operator
+    assert {queue.policy for queue in cell.queues} == {
+        'prompt',
+        'batch',
+        'gang',
+        'service',
+    }
+    assert any(queue.is_open for queue in cell.queues)
+    loaded = [load_settings(path) for path in folder.glob('settings-*.json')]
+    assert {daemon.failure_domain for daemon in loaded} == set(
+        loaded[0].domains,
+    )
+    assert len(loaded) == domain_count
+    assert all(peer_secret_of(daemon) for daemon in loaded)
