--- /dev/null
+++ b/packages/currantreach-cli/src/currantreach_cli/_output.py
@@ -0,0 +1,121 @@
+"""Exit codes and the text or JSON that commands print."""
+
+from __future__ import annotations
+
+import enum
+import json
+import sys
+from typing import TYPE_CHECKING, Any, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from currantreach_cli._client import Reply
+
+__all__ = ('ExitCode', 'judge', 'show', 'show_error')
+
+_INDENT: Final = '  '
+_EMPTY: Final[tuple[object, ...]] = (None, [], {})
+_CONFLICT: Final = 'conflict'
+_REFUSED_STATES: Final = frozenset(('not_run', 'failed'))
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes for scripts."""
+
+    done = 0
+    refused = 1
+    usage = 2
+    unreachable = 3
+    unknown = 4
+    conflict = 5
+
+
+def judge(reply: Reply) -> ExitCode:
+    """Return the exit code of a reply."""
+    fields = reply.payload if isinstance(reply.payload, dict) else {}
+    if fields.get('reason') == _CONFLICT:
+        return ExitCode.conflict
+    if fields.get('faults'):
+        return ExitCode.usage
+    state = fields.get('state')
+    if state == 'unknown':
+        return ExitCode.unknown
+    if reply.is_error or state in _REFUSED_STATES:
+        return ExitCode.refused
+    return ExitCode.done
+
+
+def show(payload: Any, output: str) -> None:
+    """Print a payload as JSON or text."""
+    if output == 'json':
+        text = json.dumps(payload, indent=2)
+    else:
+        text = '\n'.join(_lines(payload))
+    sys.stdout.write(f'{text}\n')
+
+
+def show_error(message: str, output: str) -> None:
+    """Print an error to the error stream, and as JSON if asked for."""
+    if output == 'json':
+        show({'error': message}, output)
+    else:
+        sys.stderr.write(f'{message}\n')
+
+
+def _lines(payload: Any) -> list[str]:
+    if isinstance(payload, dict):
+        return _object_lines(payload)
+    if isinstance(payload, list):
+        return _list_lines(payload)
+    return [_cell(payload)]
+
+
+def _object_lines(fields: Mapping[str, Any]) -> list[str]:
+    lines = []
+    for name, member in fields.items():
+        if isinstance(member, dict | list) and member:
+            lines.append(f'{name}:')
+            lines.extend(f'{_INDENT}{line}' for line in _lines(member))
+        elif name not in {'can_retry', 'retry_after_s'}:
+            lines.append(f'{name}: {_cell(member)}')
+    if fields.get('reason') and 'can_retry' in fields:
+        lines.append(_retry_line(fields))
+    return lines
+
+
+def _retry_line(fields: Mapping[str, Any]) -> str:
+    if not fields['can_retry']:
+        return 'retry: no'
+    delay_s = fields.get('retry_after_s', 0)
+    return f'retry: yes, after {delay_s} s'
+
+
+def _list_lines(listed: Sequence[Any]) -> list[str]:
+    if not all(isinstance(entry, dict) for entry in listed):
+        return [_cell(entry) for entry in listed]
+    # A dict keeps the order in which the columns are first seen.
+    columns = list({name: None for entry in listed for name in entry})
+    rows = [columns]
+    rows.extend(
+        [_cell(entry.get(name)) for name in columns] for entry in listed
+    )
+    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+    return [_aligned(row, widths) for row in rows]
+
+
+def _aligned(row: Sequence[str], widths: Sequence[int]) -> str:
+    cells = zip(row, widths, strict=True)
+    padded = (text.ljust(width) for text, width in cells)
+    return _INDENT.join(padded).rstrip()
+
+
+def _cell(member: Any) -> str:
+    if isinstance(member, str):
+        # Escape sequences of a task's output must not reach the terminal.
+        return ''.join(map(_printable, member))
+    return '-' if member in _EMPTY else json.dumps(member)
+
+
+def _printable(char: str) -> str:
+    return char if char.isprintable() else repr(char)[1:-1]
