--- a/packages/currantreach-config/src/currantreach_config/_schema.py
+++ b/packages/currantreach-config/src/currantreach_config/_schema.py
@@ -18,7 +18,7 @@
     from currantreach_config._faults import FileFindings
     from currantreach_config._rules import Rule
 
-__all__ = ('Checker', 'field_types')
+__all__ = ('Checker', 'field_types', 'is_explicit')
 
 _IDENTITY: typing.Final = 'name'
 _TYPE_NAMES: typing.Final = types.MappingProxyType(
@@ -76,7 +76,7 @@
     ) -> None:
         if self.is_overlay and field.name != _IDENTITY:
             return
-        if field.default is attrs.NOTHING or _is_explicit(owner, field.name):
+        if field.default is attrs.NOTHING or is_explicit(owner, field.name):
             self._findings.report(
                 f'{path}.{field.name}',
                 'the field is missing',
@@ -194,7 +194,8 @@
         )
 
 
-def _is_explicit(owner: type, name: str) -> bool:
+def is_explicit(owner: type, name: str) -> bool:
+    """Tell whether a field must be written although it has a default."""
     # A limit left out would be zero and stop the whole team.
     return owner is Resources and name != 'accelerator_count'
 
--- a/packages/currantreach-config/src/currantreach_config/_settings.py
+++ b/packages/currantreach-config/src/currantreach_config/_settings.py
@@ -229,7 +229,13 @@
             'peer_host': self._settings.peer_host,
         }
         for index, peer in enumerate(self._settings.peers):
-            host, _, _ = peer.peer_address.rpartition(':')
+            host, _, port = peer.peer_address.rpartition(':')
+            self._require(
+                0 < int(port) <= _HIGHEST_PORT,
+                f'peers[{index}].peer_address',
+                f'{port} is no port',
+                f'write a port from 1 to {_HIGHEST_PORT}',
+            )
             hosts[f'peers[{index}].peer_address'] = host.strip('[]')
         for name, host_text in hosts.items():
             self._require(
