Add the naive scheduler and shared accounts

Cause: the daemon needs a scheduler to integrate against. Change: accounts of workers, teams and waiting requests, the first-in-first-fit scheduler, and an IndexedScheduler that decides like it until the index is in place; tests with random fleets check capacity, allotments and gangs.

--- a/packages/currantreach-decisions/src/currantreach_decisions/__init__.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from currantreach_decisions._indexed import IndexedScheduler
+from currantreach_decisions._naive import NaiveScheduler
 from currantreach_decisions._scheduler import (
     Decisions,
     Placement,
@@ -13,6 +15,8 @@
 
 __all__ = (
     'Decisions',
+    'IndexedScheduler',
+    'NaiveScheduler',
     'Placement',
     'Preemption',
     'Scheduler',
