--- /dev/null
+++ b/packages/currantreach-standins/src/currantreach_standins/_fleet_worker.py
@@ -0,0 +1,272 @@
+"""One worker of the worker stand-in."""
+
+from __future__ import annotations
+
+import secrets
+import zlib
+from typing import TYPE_CHECKING
+
+import attrs
+from currantreach_types import (
+    Inventory,
+    Resources,
+    StartOrder,
+    StartOutcome,
+    StartResult,
+    TaskPhase,
+    WorkerEvents,
+)
+
+from currantreach_standins._fleet_events import EventFeed
+from currantreach_standins._fleet_tasks import RunningTask
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from currantreach_standins._fleet import Fleet
+
+__all__ = ('FleetWorker', 'StaleEpochError', 'WorkerFault')
+
+_BOOT_ID_BYTES = 4
+_MS_PER_S = 1000
+_CLOCK_SPREAD_MS = 1000000
+
+
+class StaleEpochError(Exception):
+    """The worker has seen a higher epoch."""
+
+
+@attrs.define(slots=True, kw_only=True)
+class WorkerFault:
+    """Faults of one worker.
+
+    :ivar fail_all: each task that starts fails at once.
+    :ivar freeze: no call is answered; starts that arrive are carried out
+        when the worker thaws.
+    :ivar dead: connections are closed and all tasks are gone.
+    :ivar lost_start_answers: next starts that take effect unanswered.
+    :ivar delay_ms: added to each call.
+    :ivar use_factor: actual use of all tasks as a multiple of the declared.
+    """
+
+    fail_all: bool = False
+    freeze: bool = False
+    dead: bool = False
+    lost_start_answers: int = 0
+    delay_ms: int = 0
+    use_factor: float | None = None
+
+
+class FleetWorker:
+    """Worker that records breaches of its capacity but refuses none."""
+
+    def __init__(self, name: str, capacity: Resources, fleet: Fleet) -> None:
+        """Start without tasks at epoch 0."""
+        self.name = name
+        self.capacity = capacity
+        self.used = Resources()
+        self.peak = Resources()
+        self.breach_count = 0
+        self.fault = WorkerFault()
+        self.feed = EventFeed()
+        self._fleet = fleet
+        self._epoch = 0
+        self._boot_id = secrets.token_hex(_BOOT_ID_BYTES)
+        self._tasks: dict[str, RunningTask] = {}
+
+    def clock_ms(self) -> int:
+        """Return the worker's clock, which differs between workers."""
+        offset_ms = zlib.crc32(self.name.encode()) % _CLOCK_SPREAD_MS
+        return int(self._fleet.clock.now_s() * _MS_PER_S) + offset_ms
+
+    def fence(self, epoch: int) -> None:
+        """Raise the epoch.
+
+        :raises StaleEpochError: if the worker has seen a higher one.
+        """
+        if epoch < self._epoch:
+            raise StaleEpochError
+        self._epoch = epoch
+
+    def start(self, order: StartOrder) -> StartResult:
+        """Start a task unless the order is stale, late or repeated."""
+        outcome = self._refusal(order)
+        if outcome is None:
+            self._epoch = max(self._epoch, order.epoch)
+            self._begin(order)
+            outcome = StartOutcome.started
+        return StartResult(task_id=order.task_id, outcome=outcome)
+
+    def renew(self, lease_ms: int) -> None:
+        """Renew the leases of all running tasks."""
+        lease_end_s = self._fleet.clock.now_s() + lease_ms / _MS_PER_S
+        for task in _running(self._tasks):
+            task.lease_end_s = lease_end_s
+            self._fleet.schedule(self, task)
+
+    def stop(self, task_ids: Iterable[str]) -> None:
+        """Stop tasks."""
+        now_s = self._fleet.clock.now_s()
+        for task in _running(self._tasks, task_ids):
+            self._end(task, TaskPhase.stopped, now_s)
+
+    def checkpoint(self, task_ids: Iterable[str]) -> None:
+        """Stop tasks and remember how much work they have done."""
+        now_s = self._fleet.clock.now_s()
+        for task in _running(self._tasks, task_ids):
+            task.advance(now_s)
+            self._fleet.checkpoints[task.order.task_id] = task.progress_ms
+            self._end(task, TaskPhase.stopped, now_s)
+
+    def throttle(self, task_ids: Iterable[str]) -> None:
+        """Slow tasks down to half their pace and their declared use."""
+        now_s = self._fleet.clock.now_s()
+        for task in _running(self._tasks, task_ids):
+            task.advance(now_s)
+            task.is_throttled = True
+            self._report_later(task)
+
+    def retire(self, task_ids: Iterable[str]) -> None:
+        """Forget ended tasks."""
+        for task_id in task_ids:
+            task = self._tasks.get(task_id)
+            if task is not None and not task.is_running:
+                self._tasks.pop(task_id)
+                self.feed.forget(task_id)
+
+    def inventory(self) -> Inventory:
+        """Return all tasks."""
+        now_s = self._fleet.clock.now_s()
+        return Inventory(
+            worker=self.name,
+            epoch=self._epoch,
+            clock_ms=self.clock_ms(),
+            boot_id=self._boot_id,
+            sequence=self.feed.sequence,
+            tasks=tuple(
+                task.as_reported(now_s) for task in self._tasks.values()
+            ),
+        )
+
+    def events(self, after_sequence: int) -> WorkerEvents:
+        """Return the tasks that changed after a sequence number."""
+        now_s = self._fleet.clock.now_s()
+        return WorkerEvents(
+            clock_ms=self.clock_ms(),
+            boot_id=self._boot_id,
+            sequence=self.feed.sequence,
+            tasks=tuple(
+                task.as_reported(now_s)
+                for task in self.feed.after(after_sequence)
+            ),
+        )
+
+    def inject(self, fault: WorkerFault) -> None:
+        """Replace the faults."""
+        was_dead = self.fault.dead
+        has_new_use = fault.use_factor != self.fault.use_factor
+        self.fault = fault
+        if fault.dead and not was_dead:
+            self._lose_all()
+        if was_dead and not fault.dead:
+            self._boot_id = secrets.token_hex(_BOOT_ID_BYTES)
+        if has_new_use:
+            for task in _running(self._tasks):
+                self._report_later(task)
+        self.feed.wake()
+
+    def change(self, task: RunningTask, now_s: float) -> None:
+        """Make the changes of a task that are due."""
+        if task.lease_end_s <= now_s and task.lease_end_s < task.end_at_s():
+            self._end(task, TaskPhase.expired, now_s)
+            return
+        if task.end_at_s() <= now_s:
+            self._fleet.checkpoints.pop(task.order.task_id, None)
+            self._end(task, TaskPhase.finished, now_s)
+            return
+        if task.usage_at_s <= now_s and task.report_usage(
+            self.fault.use_factor,
+        ):
+            self.feed.note(task)
+        self._fleet.schedule(self, task)
+
+    def _refusal(self, order: StartOrder) -> StartOutcome | None:
+        if self._fleet.settings.refuses:
+            if order.epoch < self._epoch:
+                return StartOutcome.stale_epoch
+            if order.start_by_ms < self.clock_ms():
+                return StartOutcome.too_late
+        if order.task_id in self._tasks:
+            return StartOutcome.known
+        return None
+
+    def _begin(self, order: StartOrder) -> None:
+        fleet = self._fleet
+        now_s = fleet.clock.now_s()
+        task = RunningTask.begin(
+            order,
+            fleet.checkpoints.get(order.task_id, 0),
+            now_s,
+            fleet.settings.usage_lag_s,
+        )
+        self._tasks[order.task_id] = task
+        self._log('start', task)
+        self.used += order.resources
+        self.peak = self.peak.at_least(self.used)
+        if not self.used.fits_in(self.capacity):
+            self._note_breach(task)
+        if self.fault.fail_all or task.hints.fails:
+            self._end(task, TaskPhase.failed, now_s)
+        else:
+            fleet.schedule(self, task)
+
+    def _note_breach(self, task: RunningTask) -> None:
+        self.breach_count += 1
+        self._log(
+            'breach',
+            task,
+            used=self.used,
+            capacity=self.capacity,
+            peak=self.peak,
+        )
+
+    def _end(self, task: RunningTask, phase: TaskPhase, now_s: float) -> None:
+        task.end(phase, now_s)
+        self.used -= task.order.resources
+        self._log('end', task)
+        self.feed.note(task)
+
+    def _report_later(self, task: RunningTask) -> None:
+        lag_s = self._fleet.settings.usage_lag_s
+        task.usage_at_s = self._fleet.clock.now_s() + lag_s
+        self._fleet.schedule(self, task)
+
+    def _lose_all(self) -> None:
+        now_s = self._fleet.clock.now_s()
+        for task in _running(self._tasks):
+            # A task that died with its worker has no phase of its own.
+            task.end(TaskPhase.stopped, now_s)
+            self._log('end', task, is_lost=True)
+        self._tasks.clear()
+        self.feed.clear()
+        self.used = Resources()
+
+    def _log(self, event: str, task: RunningTask, **more: object) -> None:
+        self._fleet.log.add(
+            event,
+            worker=self.name,
+            task_id=task.order.task_id,
+            epoch=task.order.epoch,
+            phase=task.phase,
+            **more,
+        )
+
+
+def _running(
+    tasks: dict[str, RunningTask],
+    task_ids: Iterable[str] | None = None,
+) -> list[RunningTask]:
+    if task_ids is None:
+        return [task for task in tasks.values() if task.is_running]
+    named = [tasks.get(task_id) for task_id in task_ids]
+    return [task for task in named if task and task.is_running]
