Add the HTTP clients of the store, the host list and the workers

Cause: the scheduler knows the platform only through interfaces so far.

Change: HttpStore, HttpHostList and HttpWorkerClient share one channel with a total deadline per call. A call of which no byte was sent is told apart from one whose answer is missing. aiohttp's silent repeat of PUT and DELETE on a closed kept connection is turned into a lost answer, because the repeat would report a conflict with the caller's own write. After a timeout new calls use new connections; two sessions of 32 connections keep each address within 64.

--- a/packages/currantreach-platform/src/currantreach_platform/__init__.py
+++ b/packages/currantreach-platform/src/currantreach_platform/__init__.py
@@ -3,7 +3,19 @@
 from __future__ import annotations
 
 from currantreach_platform._hosts import HostList
+from currantreach_platform._http_hosts import HttpHostList
+from currantreach_platform._http_store import HttpStore
+from currantreach_platform._http_workers import HttpWorkerClient
 from currantreach_platform._store import KeyValue, Store, WatchResult
 from currantreach_platform._workers import WorkerClient
 
-__all__ = ('HostList', 'KeyValue', 'Store', 'WatchResult', 'WorkerClient')
+__all__ = (
+    'HostList',
+    'HttpHostList',
+    'HttpStore',
+    'HttpWorkerClient',
+    'KeyValue',
+    'Store',
+    'WatchResult',
+    'WorkerClient',
+)
--- /dev/null
+++ b/packages/currantreach-platform/tests/test_channel.py
@@ -0,0 +1,106 @@
+"""Tests of connection handling against servers that go silent."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from currantreach_platform import HttpStore
+from currantreach_types.errors import LostAnswerError, StoreUnavailableError
+
+_ANSWER = (b'HTTP/1.1 200 OK\r\nX-Revision: 7\r\nContent-Length: 2\r\n\r\nok',)
+
+
+class _Server:
+    """Server that answers the first requests of each connection only."""
+
+    def __init__(self, answers_each):
+        self.answers_each = answers_each
+        self.requests = 0
+        self.open_count = 0
+        self.peak = 0
+
+    async def handle(self, reader, writer):
+        self.open_count += 1
+        self.peak = max(self.peak, self.open_count)
+        answered = 0
+        with_end = asyncio.IncompleteReadError, ConnectionError
+        try:
+            while True:
+                await reader.readuntil(b'\r\n\r\n')
+                self.requests += 1
+                if answered < self.answers_each:
+                    answered += 1
+                    writer.writelines(_ANSWER)
+        except with_end:
+            writer.close()
+        finally:
+            self.open_count -= 1
+
+
+@pytest.fixture
+async def connect():
+    """Return a function that starts a server and a store client of it."""
+    opened = []
+
+    async def start(answers_each, deadline_s):
+        server = _Server(answers_each)
+        listener = await asyncio.start_server(server.handle, '127.0.0.1', 0)
+        port = listener.sockets[0].getsockname()[1]
+        store = HttpStore(f'http://127.0.0.1:{port}', deadline_s=deadline_s)
+        opened.append((listener, store))
+        return server, store
+
+    yield start
+    await asyncio.gather(*(store.close() for _, store in opened))
+    for listener, _ in opened:
+        listener.close()
+
+
+async def _get_many(store, count):
+    calls = (store.get('a') for _ in range(count))
+    return await asyncio.gather(*calls, return_exceptions=True)
+
+
+async def test_kept_connections_that_went_silent_cost_one_timeout(connect):
+    """Guard against reusing connections that went silent together."""
+    _, store = await connect(1, 0.3)
+    answers = await _get_many(store, 8)
+    assert {entry.stored for entry in answers} == {b'ok'}
+
+    with pytest.raises(LostAnswerError, match='deadline'):
+        await store.get('a')
+
+    entry = await store.get('a')
+    assert (entry.stored, entry.revision) == (b'ok', 7)
+
+
+async def test_connections_stay_within_the_limit(connect):
+    """Guard against over 64 connections, and against sent calls taken back."""
+    server, store = await connect(0, 0.2)
+
+    first = await _get_many(store, 100)
+    second = await _get_many(store, 100)
+    third = await _get_many(store, 100)
+
+    kinds = [type(error) for error in first + second + third]
+    assert set(kinds) == {LostAnswerError, StoreUnavailableError}
+    # A call that is said to be unsent must not have reached the server.
+    assert server.requests >= 96
+    assert kinds.count(LostAnswerError) >= server.requests
+    assert server.peak >= 32
+    assert server.peak <= 64
+
+
+async def test_refused_connection_has_no_effect():
+    """Guard against calling an unsent write unknown."""
+    listener = await asyncio.start_server(lambda *_: None, '127.0.0.1', 0)
+    port = listener.sockets[0].getsockname()[1]
+    listener.close()
+    await listener.wait_closed()
+    store = HttpStore(f'http://127.0.0.1:{port}')
+
+    with pytest.raises(StoreUnavailableError, match='nothing was sent'):
+        await store.put('a', b'1', 0)
+
+    await store.close()
