--- a/packages/currantreach-platform/tests/test_http_store.py
+++ b/packages/currantreach-platform/tests/test_http_store.py
@@ -69,7 +69,9 @@
 async def test_lost_answer_after_write_is_not_sent_again(store, url, control):
     """Guard against a hidden repeat that reports a conflict with itself."""
     revision = await store.put('a', b'1', 0)
-    await control(f'{url}/v1/faults', {'lost_answer_count': 2})
+    fault = {'lost_answer_count': 2, 'lost_answer_kinds': ['put', 'delete']}
+    await control(f'{url}/v1/faults', fault)
+    await store.grant_lease(9)
 
     with pytest.raises(LostAnswerError):
         await store.put('a', b'2', revision)
@@ -80,7 +82,7 @@
     assert await store.get('a') is None
 
     calls = json.loads(await control(f'{url}/v1/stats'))['calls']
-    assert calls == {'put': 2, 'get': 2, 'delete': 1}
+    assert calls == {'put': 2, 'grant_lease': 1, 'get': 2, 'delete': 1}
     assert {**store.call_counts, **calls} == store.call_counts
 
 
--- a/packages/currantreach-standins/src/currantreach_standins/_store_app.py
+++ b/packages/currantreach-standins/src/currantreach_standins/_store_app.py
@@ -157,7 +157,7 @@
         reply = await _answer(answer, request)
         await self._faults.delay(request)
         is_written = kind in _WRITES and reply.status < HTTPStatus.BAD_REQUEST
-        if is_written and self._faults.take_lost_answer(request):
+        if is_written and self._faults.take_lost_answer(request, kind):
             return drop_connection(request)
         # A fault that began during a watch hides its answer.
         if kind == 'watch':
--- a/packages/currantreach-standins/src/currantreach_standins/_store_faults.py
+++ b/packages/currantreach-standins/src/currantreach_standins/_store_faults.py
@@ -37,6 +37,8 @@
     :ivar hang: calls are held without effect until the fault ends, and then
         closed.
     :ivar lost_answer_count: next writes that take effect unanswered.
+    :ivar lost_answer_kinds: kinds of these writes, such as ``put``; empty
+        for all, including lease calls.
     :ivar clients: names of the clients concerned; empty for all.
     """
 
@@ -44,12 +46,19 @@
     outage: Outage = Outage.none
     hang: bool = False
     lost_answer_count: int = 0
+    lost_answer_kinds: tuple[str, ...] = ()
     clients: tuple[str, ...] = ()
 
     def concerns(self, client: str) -> bool:
         """Tell whether the fault is shown to this client."""
         return not self.clients or client in self.clients
 
+    def loses_answers(self, kind: str) -> bool:
+        """Tell whether the answer to a write of this kind is lost."""
+        if self.lost_answer_count <= 0:
+            return False
+        return not self.lost_answer_kinds or kind in self.lost_answer_kinds
+
 
 class StoreFaults:
     """The faults in force."""
@@ -94,10 +103,10 @@
         if delay_ms:
             await asyncio.sleep(delay_ms * _HALF / _MS_PER_S)
 
-    def take_lost_answer(self, request: web.Request) -> bool:
+    def take_lost_answer(self, request: web.Request, kind: str) -> bool:
         """Tell whether the answer to this write is to be lost."""
         for fault in self._concerning(request):
-            if fault.lost_answer_count > 0:
+            if fault.loses_answers(kind):
                 fault.lost_answer_count -= 1
                 return True
         return False
