--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := types decisions config platform links state daemon cli standins
-SOURCES := packages bench demo proofs tests
+SOURCES := packages bench demo proofs testbed tests
 
 .PHONY: setup test check demo proofs bench soak format
 
--- a/packages/currantreach-cli/src/currantreach_cli/_client.py
+++ b/packages/currantreach-cli/src/currantreach_cli/_client.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 import attrs
+
 from currantreach_types.errors import CurrantreachError, LostAnswerError
 
 if TYPE_CHECKING:
--- a/packages/currantreach-cli/src/currantreach_cli/_configuration.py
+++ b/packages/currantreach-cli/src/currantreach_cli/_configuration.py
@@ -9,13 +9,13 @@
 from typing import TYPE_CHECKING, Any, Final
 
 import attrs
-from currantreach_config import ConfigurationFaultsError, check_files
-from currantreach_types.errors import ConfigurationError
 from cyclopts import App
 
 from currantreach_cli._client import Reply
 from currantreach_cli._output import ExitCode, judge, show, show_error
 from currantreach_cli._session import COMMON, Common, perform
+from currantreach_config import ConfigurationFaultsError, check_files
+from currantreach_types.errors import ConfigurationError
 
 if TYPE_CHECKING:
     from currantreach_cli._client import Client
--- a/packages/currantreach-cli/src/currantreach_cli/_requests.py
+++ b/packages/currantreach-cli/src/currantreach_cli/_requests.py
@@ -7,11 +7,11 @@
 from urllib.parse import quote
 
 import attrs
-from currantreach_types.errors import ConfigurationError, LostAnswerError
 from cyclopts import Parameter
 
 from currantreach_cli._output import ExitCode, show_error
 from currantreach_cli._session import COMMON, Common, perform
+from currantreach_types.errors import ConfigurationError, LostAnswerError
 
 if TYPE_CHECKING:
     from cyclopts import App
--- a/packages/currantreach-cli/src/currantreach_cli/_session.py
+++ b/packages/currantreach-cli/src/currantreach_cli/_session.py
@@ -6,14 +6,14 @@
 
 import aiohttp
 import attrs
-from currantreach_types.errors import (
-    ConfigurationError,
-    LostAnswerError,
-)
 from cyclopts import Parameter
 
 from currantreach_cli._client import Client, NoDaemonError, RetryPolicy
 from currantreach_cli._output import ExitCode, judge, show, show_error
+from currantreach_types.errors import (
+    ConfigurationError,
+    LostAnswerError,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/packages/currantreach-cli/tests/test_commands.py
+++ b/packages/currantreach-cli/tests/test_commands.py
@@ -9,6 +9,7 @@
 import pytest
 from aiohttp import web
 from aiohttp.test_utils import TestServer
+
 from currantreach_cli import run
 
 _AGENCY = Path(__file__).parents[3] / 'examples' / 'agency'
--- a/packages/currantreach-config/src/currantreach_config/_faults.py
+++ b/packages/currantreach-config/src/currantreach_config/_faults.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 import attrs
+
 from currantreach_types.errors import ConfigurationError
 
 if TYPE_CHECKING:
--- a/packages/currantreach-config/src/currantreach_config/_keys.py
+++ b/packages/currantreach-config/src/currantreach_config/_keys.py
@@ -9,6 +9,9 @@
 from typing import TYPE_CHECKING, Final
 
 import attrs
+
+from currantreach_config._model import KeyRecord, KeyRole
+from currantreach_config._rules import NAME
 from currantreach_types.refusals import (
     KEY_MISSING,
     KEY_UNKNOWN,
@@ -16,9 +19,6 @@
     Refusal,
 )
 
-from currantreach_config._model import KeyRecord, KeyRole
-from currantreach_config._rules import NAME
-
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
--- a/packages/currantreach-config/src/currantreach_config/_model.py
+++ b/packages/currantreach-config/src/currantreach_config/_model.py
@@ -6,9 +6,9 @@
 from typing import Final
 
 import attrs
-from currantreach_types import PolicyKind, Resources
 
 from currantreach_config._rules import HASH_HEX, NAME, SALT_HEX, rule
+from currantreach_types import PolicyKind, Resources
 
 __all__ = (
     'CellConfig',
--- a/packages/currantreach-config/src/currantreach_config/_records.py
+++ b/packages/currantreach-config/src/currantreach_config/_records.py
@@ -6,11 +6,11 @@
 
 import attrs
 import msgspec
-from currantreach_types.errors import ConfigurationError
 
 from currantreach_config._documents import DOCUMENT_LIMIT_BYTES
 from currantreach_config._keys import usable_keys
 from currantreach_config._model import ConfigRecord, KeyRole
+from currantreach_types.errors import ConfigurationError
 
 if TYPE_CHECKING:
     from currantreach_config._model import CellConfig, KeyRecord
--- a/packages/currantreach-config/src/currantreach_config/_rules.py
+++ b/packages/currantreach-config/src/currantreach_config/_rules.py
@@ -5,6 +5,7 @@
 from typing import Any, Final
 
 import attrs
+
 from currantreach_types import Resources
 
 __all__ = (
--- a/packages/currantreach-config/src/currantreach_config/_schema.py
+++ b/packages/currantreach-config/src/currantreach_config/_schema.py
@@ -10,9 +10,9 @@
 import typing
 
 import attrs
-from currantreach_types import Resources
 
 from currantreach_config._rules import rule_of
+from currantreach_types import Resources
 
 if typing.TYPE_CHECKING:
     from currantreach_config._faults import FileFindings
--- a/packages/currantreach-config/src/currantreach_config/_settings.py
+++ b/packages/currantreach-config/src/currantreach_config/_settings.py
@@ -9,12 +9,12 @@
 
 import attrs
 import msgspec
-from currantreach_types.errors import ConfigurationError
 
 from currantreach_config._documents import parse_document, read_document
 from currantreach_config._faults import Findings
 from currantreach_config._rules import ADDRESS, NAME, URL, rule
 from currantreach_config._schema import Checker
+from currantreach_types.errors import ConfigurationError
 
 if TYPE_CHECKING:
     from currantreach_config._faults import FileFindings
--- a/packages/currantreach-config/src/currantreach_config/reference.py
+++ b/packages/currantreach-config/src/currantreach_config/reference.py
@@ -12,7 +12,6 @@
 
 import attrs
 import msgspec
-from currantreach_types import Resources
 
 from currantreach_config._model import (
     CellConfig,
@@ -24,6 +23,7 @@
 from currantreach_config._rules import rule_of
 from currantreach_config._schema import field_types, is_explicit
 from currantreach_config._settings import DaemonSettings, PeerSettings
+from currantreach_types import Resources
 
 __all__ = ('reference',)
 
--- a/packages/currantreach-config/tests/conftest.py
+++ b/packages/currantreach-config/tests/conftest.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+
 from currantreach_config import KeyRole, new_key
 
 
--- a/packages/currantreach-config/tests/test_examples.py
+++ b/packages/currantreach-config/tests/test_examples.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import pytest
+
 from currantreach_config import (
     KeyRing,
     KeyRole,
--- a/packages/currantreach-config/tests/test_keys.py
+++ b/packages/currantreach-config/tests/test_keys.py
@@ -6,6 +6,7 @@
 
 import attrs
 import pytest
+
 from currantreach_config import (
     KeyRing,
     KeyRole,
--- a/packages/currantreach-config/tests/test_merge.py
+++ b/packages/currantreach-config/tests/test_merge.py
@@ -5,6 +5,7 @@
 import json
 
 import pytest
+
 from currantreach_config import (
     ConfigurationFaultsError,
     check_documents,
--- a/packages/currantreach-config/tests/test_settings.py
+++ b/packages/currantreach-config/tests/test_settings.py
@@ -5,6 +5,7 @@
 import json
 
 import pytest
+
 from currantreach_config import load_settings, peer_secret_of
 from currantreach_types.errors import ConfigurationError
 
--- /dev/null
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_app.py
@@ -0,0 +1,249 @@
+"""One daemon: its parts, its start and its graceful stop."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from typing import TYPE_CHECKING
+
+from currantreach_config import LimitsConfig, peer_secret_of
+from currantreach_daemon._fleet import Fleet
+from currantreach_daemon._gate import Gate
+from currantreach_daemon._gauges import register_gauges
+from currantreach_daemon._http import HttpServer
+from currantreach_daemon._log import log_event, log_problem
+from currantreach_daemon._membership import Membership
+from currantreach_daemon._messages import Heartbeat
+from currantreach_daemon._metrics import Metrics
+from currantreach_daemon._overview import Overview
+from currantreach_daemon._owner_factory import OwnerFactory
+from currantreach_daemon._peer_api import PeerApi
+from currantreach_daemon._peers import Peer, PeerTable
+from currantreach_daemon._router import Router
+from currantreach_links import PeerLink, PeerServer
+from currantreach_platform import HttpHostList, HttpStore, HttpWorkerClient
+from currantreach_state import ConfigKeeper
+from currantreach_types import MonotonicClock
+from currantreach_types.errors import PlatformError
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from currantreach_config import ConfigRecord, DaemonSettings
+    from currantreach_daemon._owner import Owner
+    from currantreach_state import Claim
+
+__all__ = ('Daemon',)
+
+_AGE_UNKNOWN_S = 1e9
+_DRAIN_POLL_S = 0.05
+_CONFIG_RETRY_S = 0.5
+
+
+class Daemon:
+    """All parts of one daemon."""
+
+    def __init__(self, settings: DaemonSettings) -> None:
+        """Create the parts; :meth:`run` starts them."""
+        self._settings = settings
+        self._clock = MonotonicClock()
+        self._metrics = Metrics()
+        self._stop = asyncio.Event()
+        self._store = HttpStore(
+            settings.store_url,
+            client_name=settings.daemon_id,
+        )
+        self._hosts = HttpHostList(settings.host_list_url)
+        self._workers = HttpWorkerClient()
+        self._keeper = ConfigKeeper(
+            self._store,
+            self._clock,
+            LimitsConfig().config_freshness_s,
+        )
+        self._membership = Membership(settings, self._clock, self._store)
+        self._peers = self._make_peers()
+        self._gate = Gate(self._keeper, self._clock)
+        self._connect()
+
+    async def run(self) -> None:
+        """Serve until a signal arrives, then stop gracefully."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._on_signal)
+        await self._server.start()
+        await self._http.start(
+            self._settings.http_host,
+            self._settings.http_port,
+        )
+        tasks = [asyncio.create_task(part) for part in self._parts()]
+        for task in tasks:
+            task.add_done_callback(self._on_part_done)
+        log_event('started', daemon=self._settings.daemon_id)
+        await self._stop.wait()
+        await self._stop_gracefully()
+        for running in tasks:
+            running.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._close()
+        log_event('stopped', daemon=self._settings.daemon_id)
+
+    def _connect(self) -> None:
+        """Make the parts known to each other."""
+        settings = self._settings
+        owners = self._membership.owners
+        self._fleet = Fleet(settings, self._hosts, owners, self._read_config)
+        self._factory = OwnerFactory(
+            settings=settings,
+            clock=self._clock,
+            store=self._store,
+            workers=self._workers,
+            metrics=self._metrics,
+            read_config=self._read_config,
+            deadline_s=self._membership.deadline_s,
+        )
+        self._membership.peers = self._peers
+        self._membership.make_owner = self._make_owner
+        self._server = PeerServer(
+            f'tcp://{settings.peer_host}:{settings.peer_port}',
+            peer_secret_of(settings),
+            PeerApi(
+                self._membership,
+                self._peers,
+                self._keeper,
+                self._heartbeat,
+            ).handlers(),
+        )
+        self._http = HttpServer(
+            self._gate,
+            self._keeper,
+            Router(
+                settings.failure_domain,
+                owners,
+                self._peers,
+                self._metrics,
+            ),
+            Overview(
+                settings,
+                self._keeper,
+                self._peers,
+                owners,
+                self._heartbeat,
+            ),
+            self._metrics,
+        )
+        register_gauges(
+            self._metrics,
+            owners,
+            self._store.call_counts,
+            self._heartbeat,
+        )
+
+    def _parts(self) -> list[Coroutine[object, object, None]]:
+        return [
+            self._membership.keep(),
+            self._membership.claim_partitions(),
+            self._fleet.follow(),
+            self._follow_config(),
+            *(self._peers.follow(peer) for peer in self._peers.peers.values()),
+        ]
+
+    def _on_signal(self) -> None:
+        if self._stop.is_set():
+            sys.exit(1)
+        self._stop.set()
+
+    def _on_part_done(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            log_problem('part_failed', error=task.exception())
+            self._stop.set()
+
+    async def _stop_gracefully(self) -> None:
+        log_event('stopping', daemon=self._settings.daemon_id)
+        self._gate.stop()
+        self._membership.is_leaving = True
+        try:
+            async with asyncio.timeout(self._settings.stop_timeout_s):
+                await self._drain()
+                await self._membership.hand_over()
+        except TimeoutError:
+            log_event('stop_timeout', level='WARNING')
+        await self._http.close()
+
+    async def _drain(self) -> None:
+        while self._gate.in_progress_count() or self._prompt_count():
+            await asyncio.sleep(_DRAIN_POLL_S)
+
+    def _prompt_count(self) -> int:
+        return sum(
+            owner.prompt_count() for owner in self._membership.owners.values()
+        )
+
+    async def _close(self) -> None:
+        await asyncio.gather(
+            *(peer.link.close() for peer in self._peers.peers.values()),
+        )
+        await self._server.close()
+        await self._store.close()
+        await self._hosts.close()
+        await self._workers.close()
+
+    async def _follow_config(self) -> None:
+        while True:
+            revision = self._keeper.revision
+            try:
+                await self._keeper.poll()
+            except PlatformError as exc:
+                log_problem('config_poll_failed', error=exc)
+                await asyncio.sleep(_CONFIG_RETRY_S)
+            if self._keeper.revision != revision:
+                log_event('config_in_force', revision=self._keeper.revision)
+                self._fleet.spread()
+
+    def _read_config(self) -> ConfigRecord | None:
+        return self._keeper.record
+
+    def _heartbeat(self) -> Heartbeat:
+        settings = self._settings
+        age_s = self._clock.now_s() - self._keeper.proof_at_s
+        owners = self._membership.owners.values()
+        return Heartbeat(
+            daemon_id=settings.daemon_id,
+            domain=settings.failure_domain,
+            session_id=self._membership.session_id,
+            config_revision=self._keeper.revision,
+            config_age_s=min(age_s, _AGE_UNKNOWN_S),
+            has_store=self._membership.has_store,
+            is_leaving=self._membership.is_leaving,
+            owned=tuple(owner.load() for owner in owners),
+        )
+
+    def _make_owner(self, claim: Claim, has_full_consent: bool) -> Owner:
+        owner = self._factory.make(claim, has_full_consent)
+        asyncio.get_running_loop().call_soon(self._fleet.spread)
+        return owner
+
+    def _make_peers(self) -> PeerTable:
+        settings = self._settings
+        secret = peer_secret_of(settings)
+        peers = {
+            peer.daemon_id: Peer(
+                peer_id=peer.daemon_id,
+                domain=peer.failure_domain,
+                link=PeerLink(
+                    peer.daemon_id,
+                    f'tcp://{peer.peer_address}',
+                    secret,
+                    settings.peer_timeout_s,
+                ),
+            )
+            for peer in settings.peers
+        }
+        return PeerTable(
+            peers,
+            self._keeper,
+            self._clock,
+            self._heartbeat,
+            settings.heartbeat_interval_s,
+            settings.peer_timeout_s,
+        )
--- /dev/null
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_callers.py
@@ -0,0 +1,247 @@
+"""HTTP interface of callers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import attrs
+from aiohttp import web
+
+from currantreach_daemon._caller_bodies import (
+    AnswersBody,
+    CancelBody,
+    IdAnswer,
+    IdBody,
+    SubmitBody,
+    check_amounts,
+    task_spec,
+)
+from currantreach_daemon._gate import Passage
+from currantreach_daemon._log import log_event
+from currantreach_daemon._replies import (
+    answer_response,
+    authorization_of,
+    json_response,
+    read_body,
+)
+from currantreach_daemon._requests import body_hash_of, not_run_answer
+from currantreach_types import (
+    Answer,
+    Refusal,
+    RequestId,
+    RequestState,
+    decode_json,
+    decode_strict_json,
+    refusals,
+)
+from currantreach_types.errors import MalformedMessageError
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from currantreach_daemon._gate import Gate
+    from currantreach_daemon._metrics import Metrics
+    from currantreach_daemon._router import Router
+
+__all__ = ('CallerApi',)
+
+_ANSWER_TIMEOUT_LIMIT_S = 60
+_MS_PER_S = 1000
+_CANCEL_LIMIT = 10000
+
+
+class CallerApi:
+    """Handlers of the caller's routes."""
+
+    def __init__(self, gate: Gate, router: Router, metrics: Metrics) -> None:
+        """Serve through a gate and a router."""
+        self._gate = gate
+        self._router = router
+        self._metrics = metrics
+
+    def routes(self) -> Sequence[web.AbstractRouteDef]:
+        """Return all routes."""
+        return [
+            web.post('/v1/request-ids', self.issue_id),
+            web.post('/v1/requests', self.submit),
+            web.get('/v1/requests', self.list_requests),
+            web.get('/v1/requests/{id}', self.status),
+            web.get('/v1/requests/{id}/answer', self.answer),
+            web.delete('/v1/requests/{id}', self.cancel),
+            web.post('/v1/cancellations', self.cancel_many),
+        ]
+
+    async def issue_id(self, request: web.Request) -> web.Response:
+        """Issue a request id for a later submission."""
+        body = decode_json(await read_body(request) or b'{}', IdBody)
+        if self._gate.is_stopping:
+            return self._refused('', refusals.STOPPING)
+        issued = await self._router.issue_id(
+            body.resources,
+            frozenset(body.passed_over),
+        )
+        if isinstance(issued, Refusal):
+            return self._refused('', issued)
+        return json_response(IdAnswer(request_id=issued))
+
+    async def submit(self, request: web.Request) -> web.Response:
+        """Accept a request or tell why it was not run."""
+        raw = await read_body(request)
+        body = decode_strict_json(raw, SubmitBody)
+        check_amounts(body)
+        admitted = self._gate.admit(
+            authorization_of(request),
+            body.team,
+            body.queue,
+        )
+        if not isinstance(admitted, Passage):
+            return self._refused(body.request_id, admitted, body.attempt)
+        needed = body.resources.times(body.gang_size)
+        if not needed.fits_in(admitted.team.upper_limit):
+            return self._refused(
+                body.request_id,
+                refusals.LIMIT_NEVER_FITS,
+                body.attempt,
+            )
+        with self._gate.counted(admitted.team.name):
+            return await self._submit_admitted(body, admitted)
+
+    async def status(self, request: web.Request) -> web.Response:
+        """Tell the state of a request."""
+        return await self._answer_within(request, 0)
+
+    async def answer(self, request: web.Request) -> web.Response:
+        """Tell the answer to a request once it is final."""
+        timeout_ms = request.query.get('timeout_ms', '10000')
+        if not timeout_ms.isdecimal():
+            raise MalformedMessageError('timeout_ms is no whole number')
+        timeout_s = min(
+            int(timeout_ms) / _MS_PER_S,
+            _ANSWER_TIMEOUT_LIMIT_S,
+        )
+        return await self._answer_within(request, timeout_s)
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        """Cancel one request."""
+        team = self._team_of(request)
+        if isinstance(team, Refusal):
+            return self._refused('', team)
+        answers = await self._router.cancel((request.match_info['id'],), team)
+        return json_response(answers[0])
+
+    async def cancel_many(self, request: web.Request) -> web.Response:
+        """Cancel many requests."""
+        body = decode_json(await read_body(request), CancelBody)
+        if len(body.request_ids) > _CANCEL_LIMIT:
+            raise MalformedMessageError(
+                f'request_ids has more than {_CANCEL_LIMIT} entries; split it',
+            )
+        team = self._team_of(request)
+        if isinstance(team, Refusal):
+            return self._refused('', team)
+        answers = await self._router.cancel(body.request_ids, team)
+        return json_response(AnswersBody(requests=answers))
+
+    async def list_requests(self, request: web.Request) -> web.Response:
+        """List the requests of the key's team."""
+        team = self._team_of(request)
+        if isinstance(team, Refusal):
+            return self._refused('', team)
+        answers = await self._router.list_requests(team)
+        return json_response(AnswersBody(requests=answers))
+
+    async def _submit_admitted(
+        self,
+        body: SubmitBody,
+        admitted: Passage,
+    ) -> web.Response:
+        request_id = body.request_id
+        if request_id:
+            RequestId.parse(request_id)
+        else:
+            issued = await self._router.issue_id(body.resources)
+            if isinstance(issued, Refusal):
+                return self._refused('', issued)
+            request_id = issued
+        spec = task_spec(body, request_id, admitted)
+        answer = await self._router.submit(
+            spec,
+            body_hash_of(spec),
+            is_repeated=body.attempt > 1,
+        )
+        if answer.state == RequestState.not_run:
+            self._metrics.refused(answer.reason)
+        return answer_response(answer)
+
+    async def _answer_within(
+        self,
+        request: web.Request,
+        timeout_s: float,
+    ) -> web.Response:
+        team = self._team_of(request)
+        if isinstance(team, Refusal):
+            return self._refused('', team)
+        request_id = request.match_info['id']
+        RequestId.parse(request_id)
+        with self._gate.counted(team):
+            answer = await self._wait(request_id, team, timeout_s)
+        return answer_response(answer)
+
+    async def _wait(
+        self,
+        request_id: str,
+        team: str,
+        timeout_s: float,
+    ) -> Answer:
+        answering = asyncio.create_task(
+            self._router.wait(request_id, team, timeout_s),
+        )
+        stopping = asyncio.create_task(self._gate.stopping.wait())
+        await asyncio.wait(
+            {answering, stopping},
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        stopping.cancel()
+        if answering.done():
+            return answering.result()
+        # A stopping daemon tells the present state instead of waiting on.
+        answering.cancel()
+        return await self._router.wait(request_id, team, 0)
+
+    def _team_of(self, request: web.Request) -> str | Refusal:
+        authorization = authorization_of(request)
+        if not authorization:
+            return self._open_team()
+        found = self._gate.identify(authorization)
+        if isinstance(found, Refusal):
+            return found
+        return found.team or refusals.KEY_OTHER_TEAM
+
+    def _open_team(self) -> str | Refusal:
+        cell = self._gate.cell()
+        if cell is None:
+            return refusals.CONFIGURATION_STALE
+        for queue in cell.queues:
+            if queue.is_open:
+                return queue.open_team
+        return refusals.KEY_MISSING
+
+    def _refused(
+        self,
+        request_id: str,
+        refusal: Refusal,
+        attempt: int = 1,
+    ) -> web.Response:
+        self._metrics.refused(refusal.reason)
+        log_event(
+            'request_end',
+            request=request_id or '-',
+            state=RequestState.not_run,
+            reason=refusal.reason,
+            attempt=attempt,
+        )
+        answer = not_run_answer(request_id, refusal)
+        if attempt > 1:
+            answer = attrs.evolve(answer, state=RequestState.unknown)
+        return answer_response(answer)
--- /dev/null
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_config_admin.py
@@ -0,0 +1,339 @@
+"""Configuration and keys over HTTP, for operators."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import msgspec
+from aiohttp import web
+
+from currantreach_config import (
+    CellConfig,
+    ConfigRecord,
+    KeyRecord,
+    KeyRing,
+    KeyRole,
+    check_documents,
+    diff,
+    drain_worker,
+    first_record,
+    grant_key,
+    merge_change,
+    new_key,
+    usable_keys,
+    withdraw_key,
+)
+from currantreach_daemon._operators import for_operator
+from currantreach_daemon._replies import (
+    answer_response,
+    authorization_of,
+    json_response,
+    read_body,
+)
+from currantreach_daemon._requests import not_run_answer
+from currantreach_types import Refusal, decode_strict_json, refusals
+from currantreach_types.errors import ConflictError, MalformedMessageError
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from currantreach_config import Change
+    from currantreach_daemon._gate import Gate
+    from currantreach_daemon._overview import Overview
+    from currantreach_state import ConfigKeeper
+
+__all__ = ('ConfigAdmin',)
+
+_IN_FORCE_TIMEOUT_S = 8
+_IN_FORCE_POLL_S = 0.05
+_CHANGE_ID_BYTES = 8
+_CONFIG = '/v1/admin/config'
+_KEYS = '/v1/admin/keys'
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class OverlayBody:
+    """One overlay of a change."""
+
+    name: str
+    document: dict[str, Any]
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class ConfigBody:
+    """Files of a configuration change.
+
+    :ivar expected_revision: revision that the operator saw, 0 for none.
+    :ivar change_id: id that recognises a repeated call.
+    """
+
+    base: dict[str, Any]
+    overlays: tuple[OverlayBody, ...] = ()
+    expected_revision: int = 0
+    change_id: str = ''
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class KeyBody:
+    """Grant of a key."""
+
+    team: str = ''
+    role: KeyRole = KeyRole.caller
+
+
+class ConfigAdmin:
+    """Handlers of the operators' routes that change the configuration."""
+
+    def __init__(
+        self,
+        gate: Gate,
+        keeper: ConfigKeeper,
+        overview: Overview,
+    ) -> None:
+        """Serve the configuration of a keeper."""
+        self._gate = gate
+        self._keeper = keeper
+        self._overview = overview
+
+    def routes(self) -> Sequence[web.AbstractRouteDef]:
+        """Return all routes."""
+        drain = '/v1/admin/workers/{name}/drain'
+        guarded = for_operator(self._gate)
+        return [
+            web.get(_CONFIG, guarded(self.show)),
+            web.get(f'{_CONFIG}/history', guarded(self.history)),
+            web.post(f'{_CONFIG}/check', guarded(self.check)),
+            web.post(f'{_CONFIG}/diff', guarded(self.diff)),
+            web.post(f'{_CONFIG}/apply', self.apply),
+            web.get(_KEYS, guarded(self.list_keys)),
+            web.post(_KEYS, guarded(self.grant)),
+            web.delete(f'{_KEYS}/{{id}}', guarded(self.withdraw)),
+            web.post(drain, guarded(self.drain)),
+        ]
+
+    async def show(self, _request: web.Request, _author: str) -> web.Response:
+        """Show the record in force."""
+        return json_response(
+            {
+                'record': _without_secrets(self._keeper.record),
+                'in_force': self._overview.in_force(),
+            },
+        )
+
+    async def history(
+        self,
+        _request: web.Request,
+        _author: str,
+    ) -> web.Response:
+        """List earlier revisions."""
+        records = await self._keeper.history()
+        return json_response(
+            {
+                'records': [
+                    {
+                        'revision': record.revision,
+                        'change_id': record.change_id,
+                        'author': record.author,
+                    }
+                    for record in records
+                ],
+            },
+        )
+
+    async def check(self, request: web.Request, _author: str) -> web.Response:
+        """Check files without applying them."""
+        cell = _cell_of(await _config_body(request))
+        return json_response({'faults': [], 'site': cell.site})
+
+    async def diff(self, request: web.Request, _author: str) -> web.Response:
+        """Compare files with the configuration in force."""
+        cell = _cell_of(await _config_body(request))
+        return json_response({'changes': self._changes_to(cell)})
+
+    async def apply(self, request: web.Request) -> web.Response:
+        """Apply files, then wait until they are in force."""
+        body = await _config_body(request)
+        cell = _cell_of(body)
+        author = self._author_of(request, cell)
+        if isinstance(author, Refusal):
+            return answer_response(not_run_answer('', author))
+        record = self._keeper.record
+        if record is not None and record.change_id == body.change_id:
+            return await self._confirm(record.revision)
+        change_id = body.change_id or _new_change_id()
+        if record is None:
+            following = first_record(cell, change_id=change_id, author=author)
+        else:
+            following = merge_change(
+                record,
+                cell,
+                change_id=change_id,
+                author=author,
+            )
+        if following.revision != body.expected_revision + 1:
+            return _lost_to(record)
+        return await self._write(following)
+
+    async def list_keys(
+        self,
+        _request: web.Request,
+        _author: str,
+    ) -> web.Response:
+        """List all keys without their hashes."""
+        record = self._record()
+        return json_response(
+            {
+                'keys': [
+                    {'key_id': key.key_id, 'team': key.team, 'role': key.role}
+                    for key in usable_keys(record)
+                ],
+                'withdrawn': record.withdrawn,
+            },
+        )
+
+    async def grant(self, request: web.Request, author: str) -> web.Response:
+        """Grant a key; the token is shown only here."""
+        body = decode_strict_json(await read_body(request), KeyBody)
+        token, key = new_key(body.team, body.role)
+        response = await self._write(
+            grant_key(
+                self._record(),
+                key,
+                change_id=_new_change_id(),
+                author=author,
+            ),
+        )
+        if response.status != HTTPStatus.OK:
+            return response
+        return json_response({'token': token, 'key_id': key.key_id})
+
+    async def withdraw(
+        self,
+        request: web.Request,
+        author: str,
+    ) -> web.Response:
+        """Withdraw a key for good."""
+        return await self._write(
+            withdraw_key(
+                self._record(),
+                request.match_info['id'],
+                change_id=_new_change_id(),
+                author=author,
+            ),
+        )
+
+    async def drain(self, request: web.Request, author: str) -> web.Response:
+        """Close a worker for new tasks."""
+        return await self._write(
+            drain_worker(
+                self._record(),
+                request.match_info['name'],
+                change_id=_new_change_id(),
+                author=author,
+            ),
+        )
+
+    def _author_of(
+        self,
+        request: web.Request,
+        cell: CellConfig,
+    ) -> str | Refusal:
+        authorization = authorization_of(request)
+        if self._keeper.record is not None:
+            found = self._gate.identify_operator(authorization)
+            return found if isinstance(found, Refusal) else found.key_id
+        # Nothing governs the cell yet, so the first files vouch for
+        # themselves: they must name the operator key that sends them.
+        ring = KeyRing(first_record(cell, change_id='', author=''))
+        key = ring.check(authorization.removeprefix('Bearer '))
+        if isinstance(key, Refusal):
+            return key
+        if key.role != KeyRole.operator:
+            return refusals.KEY_OTHER_TEAM
+        return key.key_id
+
+    async def _write(self, record: ConfigRecord) -> web.Response:
+        try:
+            await self._keeper.write(record, record.revision - 1)
+        except ConflictError:
+            return _lost_to(self._keeper.record)
+        return await self._confirm(record.revision)
+
+    async def _confirm(self, revision: int) -> web.Response:
+        missing = self._overview.missing(revision)
+        try:
+            async with asyncio.timeout(_IN_FORCE_TIMEOUT_S):
+                while missing:
+                    await asyncio.sleep(_IN_FORCE_POLL_S)
+                    missing = self._overview.missing(revision)
+        except TimeoutError:
+            missing = self._overview.missing(revision)
+        return json_response(
+            {
+                'revision': revision,
+                'in_force': self._overview.in_force(),
+                'missing': missing,
+            },
+        )
+
+    def _changes_to(self, cell: CellConfig) -> list[Change]:
+        record = self._keeper.record
+        if record is None:
+            return diff(CellConfig(site='', teams=(), queues=()), cell)
+        return diff(record.cell, cell)
+
+    def _record(self) -> ConfigRecord:
+        record = self._keeper.record
+        if record is None:
+            raise MalformedMessageError(
+                'the cell has no configuration yet; apply one first',
+            )
+        return record
+
+
+def _lost_to(record: ConfigRecord | None) -> web.Response:
+    return json_response(
+        {
+            'reason': 'conflict',
+            'remedy': 'read the configuration again and apply on top of it',
+            'current_revision': 0 if record is None else record.revision,
+            'author': '' if record is None else record.author,
+        },
+        HTTPStatus.CONFLICT,
+    )
+
+
+async def _config_body(request: web.Request) -> ConfigBody:
+    return decode_strict_json(await read_body(request), ConfigBody)
+
+
+def _cell_of(body: ConfigBody) -> CellConfig:
+    return check_documents(
+        msgspec.json.encode(body.base),
+        [
+            (overlay.name, msgspec.json.encode(overlay.document))
+            for overlay in body.overlays
+        ],
+    )
+
+
+def _new_change_id() -> str:
+    return secrets.token_hex(_CHANGE_ID_BYTES)
+
+
+def _without_secrets(record: ConfigRecord | None) -> ConfigRecord | None:
+    if record is None:
+        return None
+    return attrs.evolve(
+        record,
+        cell=attrs.evolve(record.cell, keys=_without_hashes(record.cell.keys)),
+        granted=_without_hashes(record.granted),
+    )
+
+
+def _without_hashes(keys: tuple[KeyRecord, ...]) -> tuple[KeyRecord, ...]:
+    return tuple(attrs.evolve(key, salt_hex='', hash_hex='') for key in keys)
--- /dev/null
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_endings.py
@@ -0,0 +1,199 @@
+"""Ends of requests: final answers, their records and retirement."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from typing import TYPE_CHECKING
+
+import attrs
+
+from currantreach_daemon._requests import not_run_answer
+from currantreach_decisions import TaskEnd
+from currantreach_state import RecordKind
+from currantreach_types import RequestState, TaskPhase
+from currantreach_types import task_id as task_id_of
+from currantreach_types.errors import (
+    LostAnswerError,
+    PlatformError,
+    StoreUnavailableError,
+)
+
+if TYPE_CHECKING:
+    from currantreach_daemon._owner_state import OwnerState
+    from currantreach_daemon._requests import RequestEntry
+    from currantreach_types import Answer, Refusal, WorkerTask
+
+__all__ = ('Endings',)
+
+_RETIRE_INTERVAL_S = 1
+_PROMPT_OUTPUT_KEPT_S = 10
+
+
+class Endings:
+    """Gives requests their final answer."""
+
+    def __init__(self, state: OwnerState) -> None:
+        """Work on the state of one owner."""
+        self._state = state
+        self._retiring: collections.defaultdict[str, list[str]]
+        self._retiring = collections.defaultdict(list)
+        self._kept: collections.deque[tuple[float, str, str]]
+        self._kept = collections.deque()
+
+    def refuse(self, entry: RequestEntry, refusal: Refusal) -> None:
+        """End a request that waits; it was "not run" only if that is sure."""
+        self._state.tools.metrics.refused(refusal.reason)
+        answer = not_run_answer(entry.request_id, refusal)
+        if entry.may_have_run:
+            answer = attrs.evolve(answer, state=RequestState.failed)
+        self._close_entry(entry, answer)
+
+    def end(
+        self,
+        entry: RequestEntry,
+        state: RequestState,
+        reason: str = '',
+    ) -> None:
+        """End a request that ran or may have run."""
+        self._close_entry(
+            entry,
+            attrs.evolve(entry.answer, state=state, reason=reason),
+        )
+
+    def finish_if_complete(self, entry: RequestEntry) -> None:
+        """Finish a request once all its tasks have."""
+        size = entry.spec.gang_size
+        if len(entry.outputs) < size:
+            return
+        ids = [task_id_of(entry.request_id, index) for index in range(size)]
+        entry.answer = attrs.evolve(
+            entry.answer,
+            output=tuple(entry.outputs[known] for known in ids),
+        )
+        self.end(entry, RequestState.finished)
+
+    def retire_later(
+        self,
+        entry: RequestEntry,
+        worker: str,
+        task: WorkerTask,
+    ) -> None:
+        """Let the worker keep an output until the owner's death is harmless.
+
+        Durable outputs stay until they are recorded, prompt ones for longer
+        than a takeover takes.
+        """
+        if entry.is_durable:
+            self._state.spawn(
+                self._retire_recorded(entry, worker, task.task_id),
+            )
+            return
+        due_s = self._state.now_s() + _PROMPT_OUTPUT_KEPT_S
+        self._kept.append((due_s, worker, task.task_id))
+
+    def retire_task(self, worker: str, task_id: str) -> None:
+        """Let the worker forget a task in the next round."""
+        self._retiring[worker].append(task_id)
+
+    def end_stray(
+        self,
+        entry: RequestEntry | None,
+        worker: str,
+        task: WorkerTask,
+    ) -> None:
+        """Stop or forget a task that nothing waits for."""
+        if task.phase == TaskPhase.running:
+            link = self._state.links.get(worker)
+            if link is not None:
+                self._state.spawn(link.stop((task.task_id,)))
+        else:
+            self._state.give_back(task.task_id, TaskEnd.finished)
+            if entry is not None and not entry.ended.is_set():
+                self.retire_later(entry, worker, task)
+            else:
+                self.retire_task(worker, task.task_id)
+
+    async def retire_rounds(self) -> None:
+        """Retire outputs and old answers for ever."""
+        while True:
+            await asyncio.sleep(_RETIRE_INTERVAL_S)
+            self._retire_kept()
+            await self._retire_on_workers()
+            before_s = (
+                self._state.now_s() - self._state.tools.result_retention_s
+            )
+            for entry in self._state.table.retire(before_s):
+                if entry.is_durable:
+                    self._state.spawn(
+                        self._state.append(entry, RecordKind.retired)
+                    )
+
+    def _retire_kept(self) -> None:
+        now_s = self._state.now_s()
+        while self._kept and self._kept[0][0] <= now_s:
+            _due_s, worker, ended_id = self._kept.popleft()
+            self.retire_task(worker, ended_id)
+
+    async def _retire_on_workers(self) -> None:
+        retiring = self._retiring
+        self._retiring = collections.defaultdict(list)
+        for worker, ids in retiring.items():
+            link = self._state.links.get(worker)
+            if link is None:
+                continue
+            try:
+                await link.retire(tuple(ids))
+            except PlatformError:
+                self._retiring[worker].extend(ids)
+
+    def _close_entry(self, entry: RequestEntry, answer: Answer) -> None:
+        if entry.is_closing:
+            return
+        entry.is_closing = True
+        if entry.is_durable and entry.is_recorded:
+            entry.answer = attrs.evolve(answer, state=entry.answer.state)
+            self._state.spawn(self._record_end(entry, answer))
+        else:
+            self._publish_end(entry, answer)
+
+    async def _record_end(self, entry: RequestEntry, answer: Answer) -> None:
+        while True:
+            try:
+                await self._state.append(entry, RecordKind.ended, answer)
+            except (StoreUnavailableError, LostAnswerError):
+                self._state.tools.metrics.retried('store_unavailable')
+                await asyncio.sleep(_RETIRE_INTERVAL_S)
+            else:
+                break
+        self._publish_end(entry, answer)
+
+    def _publish_end(self, entry: RequestEntry, answer: Answer) -> None:
+        now_s = self._state.now_s()
+        self._state.table.end(entry, answer, now_s)
+        self._state.tools.metrics.request_ended(
+            entry.spec.workload, answer.state
+        )
+        self._state.log(
+            'request_end',
+            request=entry.request_id,
+            team=entry.spec.team,
+            workload=entry.spec.workload,
+            state=answer.state,
+            reason=answer.reason or '-',
+            waited_s=_rounded(answer.waited_s),
+            total_s=_rounded(now_s - entry.submitted_s),
+        )
+
+    async def _retire_recorded(
+        self,
+        entry: RequestEntry,
+        worker: str,
+        ended_id: str,
+    ) -> None:
+        await entry.ended.wait()
+        self._retiring[worker].append(ended_id)
+
+
+def _rounded(duration_s: float | None) -> str:
+    return '-' if duration_s is None else f'{duration_s:.4f}'
--- /dev/null
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_gate.py
@@ -0,0 +1,164 @@
+"""Checks that every call passes before it reaches the decisions."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import contextlib
+from typing import TYPE_CHECKING
+
+import attrs
+
+from currantreach_config import (
+    KeyRecord,
+    KeyRing,
+    KeyRole,
+    QueueConfig,
+    TeamConfig,
+)
+from currantreach_types import Refusal, refusals
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from aiohttp import web
+
+    from currantreach_config import CellConfig
+    from currantreach_state import ConfigKeeper
+    from currantreach_types import Clock
+
+__all__ = ('Gate', 'Passage')
+
+_BEARER = 'Bearer '
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class Passage:
+    """What a caller may do with a request that was let in."""
+
+    team: TeamConfig
+    queue: QueueConfig
+
+
+class Gate:
+    """Checks keys, teams, queues and the number of requests of a team."""
+
+    def __init__(self, keeper: ConfigKeeper, clock: Clock) -> None:
+        """Check against the configuration in force."""
+        self.is_stopping = False
+        self.stopping = asyncio.Event()
+        self.server: web.Server | None = None
+        self._keeper = keeper
+        self._clock = clock
+        self._ring: tuple[int, KeyRing] | None = None
+        self._in_progress: collections.Counter[str] = collections.Counter()
+
+    def cell(self) -> CellConfig | None:
+        """Return the merged configuration in force, if any is known."""
+        record = self._keeper.record
+        return None if record is None else record.cell
+
+    def stop(self) -> None:
+        """Admit nothing more and cut waiting for answers short."""
+        self.is_stopping = True
+        self.stopping.set()
+
+    def is_over_connection_limit(self) -> bool:
+        """Tell whether more connections are open than allowed."""
+        cell = self.cell()
+        if cell is None or self.server is None:
+            return False
+        return len(self.server.connections) > cell.limits.connection_limit
+
+    def in_progress_count(self) -> int:
+        """Return the number of calls in progress."""
+        return self._in_progress.total()
+
+    @contextlib.contextmanager
+    def counted(self, team: str) -> Iterator[None]:
+        """Count a call in progress for a team."""
+        self._in_progress[team] += 1
+        try:
+            yield
+        finally:
+            self._in_progress[team] -= 1
+
+    def admit(
+        self,
+        authorization: str,
+        team: str,
+        queue: str,
+    ) -> Passage | Refusal:
+        """Let a submission in, or say why not."""
+        cell = self.cell()
+        if self.is_stopping:
+            return refusals.STOPPING
+        if cell is None:
+            return refusals.CONFIGURATION_STALE
+        queues = {known.name: known for known in cell.queues}
+        if queue not in queues:
+            return refusals.QUEUE_UNKNOWN
+        chosen = queues[queue]
+        charged = self._charged_team(authorization, team, chosen)
+        if isinstance(charged, Refusal):
+            return charged
+        return self._admit_team(cell, charged, chosen)
+
+    def identify(self, authorization: str) -> KeyRecord | Refusal:
+        """Return the record of a call's key, or say why it is refused."""
+        if not authorization.startswith(_BEARER):
+            return refusals.KEY_MISSING
+        ring = self._key_ring()
+        if ring is None:
+            return refusals.CONFIGURATION_STALE
+        return ring.check(authorization.removeprefix(_BEARER))
+
+    def identify_operator(self, authorization: str) -> KeyRecord | Refusal:
+        """Return the record of an operator's key, or say why not."""
+        found = self.identify(authorization)
+        if isinstance(found, Refusal):
+            return found
+        if found.role != KeyRole.operator:
+            return refusals.KEY_OTHER_TEAM
+        return found
+
+    def _charged_team(
+        self,
+        authorization: str,
+        team: str,
+        queue: QueueConfig,
+    ) -> str | Refusal:
+        if queue.is_open and not authorization:
+            return queue.open_team
+        found = self.identify(authorization)
+        if isinstance(found, Refusal):
+            return found
+        if not self._keeper.is_fresh(self._clock.now_s()):
+            return refusals.CONFIGURATION_STALE
+        if found.role != KeyRole.caller or found.team != team:
+            return refusals.KEY_OTHER_TEAM
+        if queue.teams and team not in queue.teams:
+            return refusals.QUEUE_NOT_OPEN
+        return team
+
+    def _admit_team(
+        self,
+        cell: CellConfig,
+        name: str,
+        queue: QueueConfig,
+    ) -> Passage | Refusal:
+        teams = {team.name: team for team in cell.teams}
+        if name not in teams:
+            return refusals.TEAM_UNKNOWN
+        team = teams[name]
+        if self._in_progress[name] >= team.request_limit:
+            return refusals.TEAM_RATE
+        return Passage(team=team, queue=queue)
+
+    def _key_ring(self) -> KeyRing | None:
+        record = self._keeper.record
+        if record is None:
+            return None
+        if self._ring is None or self._ring[0] != record.revision:
+            self._ring = (record.revision, KeyRing(record))
+        return self._ring[1]
--- /dev/null
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_http.py
@@ -0,0 +1,90 @@
+"""HTTP server of a daemon."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from currantreach_config import LimitsConfig
+from currantreach_daemon._admin import Admin
+from currantreach_daemon._callers import CallerApi
+from currantreach_daemon._config_admin import ConfigAdmin
+from currantreach_daemon._http_errors import ErrorMiddleware
+from currantreach_daemon._replies import json_response
+
+if TYPE_CHECKING:
+    from currantreach_daemon._gate import Gate
+    from currantreach_daemon._metrics import Metrics
+    from currantreach_daemon._overview import Overview
+    from currantreach_daemon._router import Router
+    from currantreach_state import ConfigKeeper
+
+__all__ = ('HttpServer',)
+
+# The store holds values of up to 1 MB; configuration files may use them.
+_BODY_LIMIT_BYTES = 1_000_000
+
+
+class HttpServer:
+    """All routes of one daemon."""
+
+    def __init__(
+        self,
+        gate: Gate,
+        keeper: ConfigKeeper,
+        router: Router,
+        overview: Overview,
+        metrics: Metrics,
+    ) -> None:
+        """Create the application; :meth:`start` opens the port."""
+        self._gate = gate
+        self._keeper = keeper
+        self._metrics = metrics
+        self._app = web.Application(
+            middlewares=[ErrorMiddleware(gate, metrics).run],
+            client_max_size=_BODY_LIMIT_BYTES,
+        )
+        self._app.add_routes(
+            [
+                *CallerApi(gate, router, metrics).routes(),
+                *ConfigAdmin(gate, keeper, overview).routes(),
+                *Admin(gate, overview, router).routes(),
+                web.get('/metrics', self._show_metrics),
+                web.get('/healthz', self._show_health),
+            ],
+        )
+        self._runner: web.AppRunner | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen on an address."""
+        limits = LimitsConfig()
+        self._runner = web.AppRunner(
+            self._app,
+            access_log=None,
+            max_line_size=limits.header_limit_bytes,
+            max_field_size=limits.header_limit_bytes,
+        )
+        await self._runner.setup()
+        self._gate.server = self._runner.server
+        await web.TCPSite(self._runner, host, port).start()
+
+    async def close(self) -> None:
+        """End calls in progress and close the port."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _show_metrics(self, _request: web.Request) -> web.Response:
+        return web.Response(
+            body=self._metrics.render(),
+            content_type='text/plain',
+        )
+
+    async def _show_health(self, _request: web.Request) -> web.Response:
+        is_ready = self._keeper.record is not None
+        is_ready = is_ready and not self._gate.is_stopping
+        return json_response(
+            {'is_ready': is_ready, 'revision': self._keeper.revision},
+            HTTPStatus.OK if is_ready else HTTPStatus.SERVICE_UNAVAILABLE,
+        )
--- /dev/null
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_http_errors.py
@@ -0,0 +1,116 @@
+"""Translation of errors to HTTP answers."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+from aiohttp import web
+
+from currantreach_config import ConfigurationFaultsError
+from currantreach_daemon._log import log_event
+from currantreach_daemon._replies import json_response
+from currantreach_daemon._requests import not_run_answer
+from currantreach_types import Answer, RequestState, refusals
+from currantreach_types.errors import (
+    ConfigurationError,
+    CurrantreachError,
+    LostAnswerError,
+    MalformedMessageError,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from currantreach_daemon._gate import Gate
+    from currantreach_daemon._metrics import Metrics
+    from currantreach_types import Refusal
+
+    _Call = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+__all__ = ('ErrorMiddleware',)
+
+_CLOSING = frozenset(
+    (HTTPStatus.REQUEST_ENTITY_TOO_LARGE, HTTPStatus.SERVICE_UNAVAILABLE),
+)
+
+
+class ErrorMiddleware:
+    """Answers each failed call with a reason and a remedy."""
+
+    def __init__(self, gate: Gate, metrics: Metrics) -> None:
+        """Refuse connections above the limit of the gate."""
+        self._gate = gate
+        self._metrics = metrics
+
+    @web.middleware
+    async def run(
+        self,
+        request: web.Request,
+        handler: _Call,  # noqa: WPS110
+    ) -> web.StreamResponse:
+        """Run a handler and answer for the errors that it raises."""
+        if self._gate.is_over_connection_limit():
+            return self._refused(
+                refusals.CONNECTION_LIMIT,
+                HTTPStatus.SERVICE_UNAVAILABLE,
+            )
+        try:
+            return await handler(request)
+        except web.HTTPRequestEntityTooLarge:
+            return self._refused(
+                refusals.BODY_TOO_LARGE,
+                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+            )
+        except CurrantreachError as exc:
+            return self._failed(exc)
+
+    def _failed(self, error: CurrantreachError) -> web.Response:
+        if isinstance(error, ConfigurationFaultsError):
+            faults = [msgspec.to_builtins(fault) for fault in error.faults]
+            return json_response({'faults': faults}, HTTPStatus.BAD_REQUEST)
+        if isinstance(error, MalformedMessageError | ConfigurationError):
+            return self._refused(
+                refusals.BODY_MALFORMED,
+                HTTPStatus.BAD_REQUEST,
+                str(error),
+            )
+        if isinstance(error, LostAnswerError):
+            return _unknown_outcome(str(error))
+        return self._refused(
+            refusals.STORE_UNAVAILABLE,
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            str(error),
+        )
+
+    def _refused(
+        self,
+        refusal: Refusal,
+        status: HTTPStatus,
+        text: str = '',
+    ) -> web.Response:
+        self._metrics.refused(refusal.reason)
+        log_event('request_end', state='not_run', reason=refusal.reason)
+        answer = not_run_answer('', refusal)
+        if text:
+            answer = attrs.evolve(answer, remedy=f'{answer.remedy}: {text}')
+        response = json_response(answer, status)
+        if status in _CLOSING:
+            response.force_close()
+        return response
+
+
+def _unknown_outcome(text: str) -> web.Response:
+    return json_response(
+        Answer(
+            request_id='',
+            state=RequestState.unknown,
+            reason='store_answer_lost',
+            remedy=f'read the state before you repeat the call: {text}',
+            can_retry=True,
+            retry_after_s=1,
+        ),
+        HTTPStatus.GATEWAY_TIMEOUT,
+    )
--- /dev/null
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_membership.py
@@ -0,0 +1,343 @@
+"""Session, claims and promises of a daemon."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import hashlib
+from typing import TYPE_CHECKING
+
+from currantreach_config import LimitsConfig
+from currantreach_daemon._log import log_event, log_problem
+from currantreach_daemon._messages import (
+    ConsentMessage,
+    ConsentReply,
+    PromiseMessage,
+    PromiseReply,
+)
+from currantreach_daemon._takeover import CALL_TIMEOUT_S, Takeover
+from currantreach_state import (
+    ClaimKeeper,
+    PromiseBook,
+    PromiseRun,
+    Roster,
+    Session,
+    TakeoverRule,
+)
+from currantreach_types.errors import ConflictError, LinkError, PlatformError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from currantreach_config import DaemonSettings
+    from currantreach_daemon._owner import Owner
+    from currantreach_daemon._peers import Peer, PeerTable
+    from currantreach_platform import Store
+    from currantreach_state import Claim, RosterView
+    from currantreach_types import Clock
+
+__all__ = ('Membership',)
+
+_PROMISE_S = 3
+
+
+class Membership:
+    """Keeps the session and the claims, and runs an owner for each claim.
+
+    :ivar owners: owner of each partition claimed by this daemon.
+    :ivar peers: all peers, set before the first use.
+    :ivar make_owner: creates the owner of a claim; told whether all
+        registered daemons consented to the takeover.
+    :ivar has_store: whether the last renewal reached the store.
+    :ivar is_leaving: whether the daemon takes no more claims.
+    """
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        clock: Clock,
+        store: Store,
+    ) -> None:
+        """Start without a session."""
+        domain = settings.failure_domain
+        self.owners: dict[int, Owner] = {}
+        self.peers: PeerTable
+        self.make_owner: Callable[[Claim, bool], Owner]
+        self.has_store = False
+        self.is_leaving = False
+        self._settings = settings
+        self._clock = clock
+        self._session = Session(
+            store,
+            clock,
+            domain,
+            settings.daemon_id,
+            settings.session_ttl_s,
+            settings.claim_margin_s,
+        )
+        self._roster = Roster(store, domain)
+        self._claims = ClaimKeeper(
+            store,
+            domain,
+            settings.daemon_id,
+            self._session,
+        )
+        self._promises: PromiseBook | None = None
+        self._run = self._new_run()
+        self._takeover = Takeover(
+            settings,
+            self._claims,
+            self._roster,
+            TakeoverRule(clock, LimitsConfig().outage_limit_s),
+            self.consent,
+        )
+        self._registered: frozenset[str] = frozenset()
+        self._owner_tasks: dict[int, asyncio.Task[None]] = {}
+
+    @property
+    def session_id(self) -> str:
+        """Return the session of this process."""
+        return self._session.session_id
+
+    def deadline_s(self) -> float:
+        """Return the time after which nothing may be started."""
+        return self._run.valid_until_s()
+
+    async def keep(self) -> None:
+        """Renew the session for ever, or collect promises without it."""
+        while True:
+            began_s = self._clock.now_s()
+            try:
+                await self._renew()
+            except PlatformError as exc:
+                self.has_store = False
+                log_problem('renewal_failed', error=exc)
+                await self._collect_promises()
+            elapsed_s = self._clock.now_s() - began_s
+            await asyncio.sleep(
+                max(0, self._settings.renew_interval_s - elapsed_s),
+            )
+
+    async def claim_partitions(self) -> None:
+        """Take claims that nobody holds, for ever."""
+        while True:
+            if self.has_store and not self.is_leaving:
+                for partition in range(self._settings.partition_count):
+                    await self._try_claim(partition)
+            await asyncio.sleep(self._settings.renew_interval_s)
+
+    def promise(self, message: PromiseMessage) -> PromiseReply:
+        """Promise a session not to take over from it."""
+        is_given = self._promises is not None and self._promises.give(
+            message.holder,
+            message.duration_s,
+            message.roster_revision,
+        )
+        return PromiseReply(
+            duration_s=message.duration_s if is_given else 0,
+            roster=tuple(sorted(self._registered)),
+        )
+
+    def consent(self, message: ConsentMessage) -> ConsentReply:
+        """Consent to a takeover from a session, or withhold it."""
+        if self._promises is None:
+            return ConsentReply(is_given=False, was_asked=False)
+        given = self._promises.consent(message.holder)
+        return ConsentReply(
+            is_given=given.is_given,
+            was_asked=given.was_asked,
+        )
+
+    async def hand_over(self) -> None:
+        """Give all claims to live peers of this failure domain."""
+        for partition, owner in tuple(self.owners.items()):
+            successor = self._successor(partition)
+            await self._stop_owner(partition)
+            if successor is None or successor.heartbeat is None:
+                continue
+            try:
+                await self._claims.hand_over(
+                    owner.claim,
+                    successor.peer_id,
+                    successor.heartbeat.session_id,
+                )
+            except PlatformError as exc:
+                log_problem('hand_over_failed', error=exc)
+        await self._leave()
+
+    async def _leave(self) -> None:
+        if self._promises is not None:
+            self._promises.close()
+        try:
+            await self._roster.leave(
+                self._settings.daemon_id,
+                self._session.session_id,
+            )
+        except PlatformError as exc:
+            log_problem('leave_failed', error=exc)
+        await self._session.close()
+
+    async def _renew(self) -> None:
+        sent_at_s = self._clock.now_s()
+        if not await self._session.renew():
+            await self._stop_all_owners()
+            self._run = self._new_run()
+        view = await self._roster.members()
+        if not self._is_registered(view):
+            view = await self._roster.join(
+                self._settings.daemon_id,
+                self._session.session_id,
+                f'{self._settings.peer_host}:{self._settings.peer_port}',
+            )
+        self._note_roster(view)
+        self._run.note_renewal(
+            sent_at_s,
+            self._session.deadline_s,
+            self._registered - {self._settings.daemon_id},
+            view.revision,
+        )
+        self.has_store = True
+
+    def _is_registered(self, view: RosterView) -> bool:
+        entry = view.members.get(self._settings.daemon_id)
+        return entry is not None and entry.session_id == self.session_id
+
+    def _note_roster(self, view: RosterView) -> None:
+        self._registered = frozenset(view.members)
+        absent_revision = view.members[self._settings.daemon_id].absent_revision
+        book = self._promises
+        if book is None or book.absent_revision != absent_revision:
+            self._promises = PromiseBook(self._clock, absent_revision)
+
+    def _new_run(self) -> PromiseRun:
+        return PromiseRun(
+            self._clock,
+            LimitsConfig().outage_limit_s,
+            self._settings.claim_margin_s,
+        )
+
+    async def _collect_promises(self) -> None:
+        if not self.owners:
+            return
+        round_number = self._run.begin_round(self._clock.now_s())
+        await asyncio.gather(
+            *(self._ask_promise(peer, round_number) for peer in self._local()),
+        )
+
+    async def _ask_promise(self, peer: Peer, round_number: int) -> None:
+        try:
+            reply = await peer.link.call(
+                'promise',
+                PromiseMessage(
+                    holder=self.session_id,
+                    duration_s=_PROMISE_S,
+                    roster_revision=self._run.roster_revision,
+                ),
+                PromiseReply,
+                CALL_TIMEOUT_S,
+            )
+        except LinkError:
+            return
+        if reply.duration_s > 0:
+            self._run.record(
+                round_number,
+                peer.peer_id,
+                reply.duration_s,
+                frozenset(reply.roster) - {self._settings.daemon_id},
+            )
+
+    async def _try_claim(self, partition: int) -> None:
+        if partition in self.owners:
+            return
+        try:
+            claim = await self._takeover.take(
+                partition,
+                self._preferred(partition),
+                self._local(),
+            )
+        except ConflictError:
+            return
+        except PlatformError as exc:
+            log_problem('claim_failed', error=exc)
+            return
+        if claim is not None:
+            self._start_owner(*claim)
+
+    def _start_owner(self, claim: Claim, has_full_consent: bool) -> None:
+        log_event(
+            'claim_taken',
+            domain=claim.domain,
+            partition=claim.partition,
+            epoch=claim.epoch,
+            has_full_consent=has_full_consent,
+        )
+        owner = self.make_owner(claim, has_full_consent)
+        self.owners[claim.partition] = owner
+        running = asyncio.create_task(self._run_owner(claim, owner))
+        self._owner_tasks[claim.partition] = running
+        running.add_done_callback(_log_failure)
+
+    async def _run_owner(self, claim: Claim, owner: Owner) -> None:
+        try:
+            await owner.run()
+        finally:
+            self._takeover.ended_epochs[claim.partition] = claim.epoch
+            if self.owners.get(claim.partition) is owner:
+                self.owners.pop(claim.partition)
+
+    async def _stop_all_owners(self) -> None:
+        for partition in tuple(self.owners):
+            await self._stop_owner(partition)
+
+    async def _stop_owner(self, partition: int) -> None:
+        self.owners.pop(partition, None)
+        running = self._owner_tasks.pop(partition, None)
+        if running is not None:
+            running.cancel()
+            await asyncio.wait((running,))
+
+    def _preferred(self, partition: int) -> str:
+        live = {self._settings.daemon_id, *self._candidates()}
+        return _rendezvous(partition, live)
+
+    def _successor(self, partition: int) -> Peer | None:
+        live = self._candidates()
+        return live[_rendezvous(partition, live)] if live else None
+
+    def _candidates(self) -> dict[str, Peer]:
+        return {
+            peer.peer_id: peer
+            for peer in self.peers.reachable()
+            if self._is_candidate(peer)
+        }
+
+    def _is_candidate(self, peer: Peer) -> bool:
+        beat = peer.heartbeat
+        return (
+            peer.domain == self._settings.failure_domain
+            and beat is not None
+            and beat.has_store
+            and not beat.is_leaving
+        )
+
+    def _local(self) -> tuple[Peer, ...]:
+        return tuple(
+            peer
+            for peer in self.peers.peers.values()
+            if peer.domain == self._settings.failure_domain
+        )
+
+
+def _log_failure(running: asyncio.Task[None]) -> None:
+    if not running.cancelled() and running.exception() is not None:
+        log_problem('owner_failed', error=running.exception())
+
+
+def _rendezvous(partition: int, candidates: Iterable[str]) -> str:
+    """Return the candidate with the highest hash for a partition."""
+    return max(candidates, key=functools.partial(_score, partition))
+
+
+def _score(partition: int, candidate: str) -> bytes:
+    key = f'{partition}/{candidate}'.encode()
+    return hashlib.blake2b(key, digest_size=8).digest()
--- /dev/null
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_overview.py
@@ -0,0 +1,129 @@
+"""What operators see of the cell."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from currantreach_types import Resources
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from currantreach_config import DaemonSettings
+    from currantreach_daemon._messages import Heartbeat
+    from currantreach_daemon._owner import Owner
+    from currantreach_daemon._peers import PeerTable
+    from currantreach_state import ConfigKeeper
+
+__all__ = ('Overview',)
+
+
+class Overview:
+    """Collects the state of this daemon and of its peers."""
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        keeper: ConfigKeeper,
+        peers: PeerTable,
+        owners: Mapping[int, Owner],
+        own_heartbeat: Callable[[], Heartbeat],
+    ) -> None:
+        """Read from the parts of one daemon."""
+        self._settings = settings
+        self._keeper = keeper
+        self._peers = peers
+        self._owners = owners
+        self._own_heartbeat = own_heartbeat
+
+    def in_force(self) -> dict[str, int]:
+        """Return the lowest revision of the daemons of each domain.
+
+        A daemon that is cut off refuses keyed work once its configuration
+        is stale, so only reachable daemons count; a failure domain without
+        any is left out.
+        """
+        revisions: dict[str, int] = {}
+        for beat in self._heartbeats():
+            lowest = revisions.get(beat.domain, beat.config_revision)
+            revisions[beat.domain] = min(lowest, beat.config_revision)
+        return revisions
+
+    def missing(self, revision: int) -> list[str]:
+        """Return the failure domains that do not confirm a revision."""
+        in_force = self.in_force()
+        return [
+            domain
+            for domain in self._settings.domains
+            if in_force.get(domain, 0) < revision
+        ]
+
+    def status(self) -> dict[str, Any]:
+        """Return each daemon with claims, revision and freshness."""
+        beats = self._heartbeats()
+        heard = {beat.daemon_id for beat in beats}
+        return {
+            'daemons': [msgspec.to_builtins(beat) for beat in beats],
+            'unreachable': sorted(self._peers.peers.keys() - heard),
+            'in_force': self.in_force(),
+            'limits_in_force': self._limits_in_force(),
+        }
+
+    def workers(self) -> list[dict[str, Any]]:
+        """Return the workers of the partitions that this daemon owns."""
+        return [
+            {
+                'name': host.name,
+                'failure_domain': host.failure_domain,
+                'rack': host.rack,
+                'state': host.state,
+                'is_connected': owner.workers.is_connected(host.name),
+                'is_open': owner.workers.is_open(host.name),
+            }
+            for owner in self._owners.values()
+            for host in owner.workers.hosts.values()
+        ]
+
+    def teams(self) -> list[dict[str, Any]]:
+        """Return the teams with what they use in the owned partitions."""
+        record = self._keeper.record
+        if record is None:
+            return []
+        usage: dict[str, Resources] = {}
+        granted: dict[str, Resources] = {}
+        for owner in self._owners.values():
+            for name, used in owner.usage().items():
+                usage[name] = usage.get(name, Resources()) + used
+            for team, allotment in owner.allotments().items():
+                granted[team] = granted.get(team, Resources()) + allotment
+        return [
+            {
+                'name': team.name,
+                'share': team.share,
+                'upper_limit': msgspec.to_builtins(team.upper_limit),
+                'allotment': msgspec.to_builtins(
+                    granted.get(team.name, Resources()),
+                ),
+                'usage': msgspec.to_builtins(
+                    usage.get(team.name, Resources()),
+                ),
+            }
+            for team in record.cell.teams
+        ]
+
+    def _heartbeats(self) -> list[Heartbeat]:
+        beats = [self._own_heartbeat()]
+        beats.extend(
+            peer.heartbeat
+            for peer in self._peers.reachable()
+            if peer.heartbeat is not None
+        )
+        return beats
+
+    def _limits_in_force(self) -> dict[str, int]:
+        return {
+            f'{owner.claim.domain}.{partition}': owner.limits_revision()
+            for partition, owner in self._owners.items()
+        }
--- /dev/null
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_owner.py
@@ -0,0 +1,286 @@
+"""Owner of one partition: accepts, places and ends requests."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from currantreach_daemon._endings import Endings
+from currantreach_daemon._messages import OwnedPartition
+from currantreach_daemon._owner_state import OwnerState
+from currantreach_daemon._recovery import Recovery
+from currantreach_daemon._requests import not_run_answer
+from currantreach_daemon._starts import Starts
+from currantreach_daemon._task_events import TaskEvents
+from currantreach_daemon._worker_set import WorkerSet
+from currantreach_types import (
+    Answer,
+    RequestId,
+    RequestState,
+    Resources,
+    new_request_id,
+    refusals,
+)
+from currantreach_types.errors import (
+    LostAnswerError,
+    StaleEpochError,
+    StoreUnavailableError,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from currantreach_daemon._owner_state import OwnerTools
+    from currantreach_daemon._quotas import Quotas
+    from currantreach_daemon._requests import RequestEntry
+    from currantreach_decisions import Decisions
+    from currantreach_state import Claim, JournalRecord
+    from currantreach_types import TaskSpec
+
+__all__ = ('Owner',)
+
+_DECIDE_INTERVAL_S = 0.05
+_JOURNAL_RETRY_S = 0.5
+_RECOVERING = 'recovering'
+
+
+class Owner:
+    """Single writer of a partition under one claim.
+
+    :ivar claim: claim under which the owner works.
+    :ivar workers: workers of the partition.
+    :ivar quotas: team limits, set before :meth:`run`.
+    """
+
+    def __init__(self, claim: Claim, tools: OwnerTools) -> None:
+        """Prepare the owner; :meth:`run` does the work."""
+        self.claim = claim
+        self.quotas: Quotas
+        self._tools = tools
+        self._state = OwnerState(claim, tools)
+        self._endings = Endings(self._state)
+        self._starts = Starts(self._state, self._endings)
+        self._recovery = Recovery(self._state, self._starts, self._endings)
+        self._events = TaskEvents(
+            self._state,
+            self._starts,
+            self._endings,
+            self._recovery,
+        )
+        self.workers = WorkerSet(self._state, self._events)
+        self._is_recorded = asyncio.Event()
+
+    @property
+    def has_limits(self) -> asyncio.Event:
+        """Return the event that is set once the team limits are known."""
+        return self._state.has_limits
+
+    async def run(self) -> None:
+        """Serve the partition until the claim is lost."""
+        for record in await self._open_journal():
+            self._recovery.add_record(record)
+        self._is_recorded.set()
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._decide_rounds())
+                group.create_task(self._endings.retire_rounds())
+                group.create_task(self._recovery.finish())
+                group.create_task(self.quotas.keep())
+                await self._state.lost.wait()
+                raise StaleEpochError('another daemon owns this partition')
+        except* StaleEpochError:
+            self._state.log('ownership_lost')
+        finally:
+            await self.close()
+
+    async def close(self) -> None:
+        """Stop all links and leave the tasks to the successor."""
+        await self.workers.close()
+        await self._state.cancel_background()
+
+    def issue_id(self) -> str:
+        """Return a new request id of this partition."""
+        claim = self.claim
+        return str(new_request_id(claim.domain, claim.partition, claim.epoch))
+
+    def waiting_count(self) -> int:
+        """Return the number of waiting requests."""
+        return self._tools.scheduler.waiting_count()
+
+    async def submit(self, spec: TaskSpec, body_hash: str) -> Answer:
+        """Accept a request, or answer for the one with the same id."""
+        known = self._state.table.get(spec.request_id)
+        if known is not None:
+            if known.body_hash != body_hash:
+                return not_run_answer(spec.request_id, refusals.ID_REUSED)
+            return known.answer
+        if not (self._is_recorded.is_set() and self.has_limits.is_set()):
+            return not_run_answer(spec.request_id, refusals.NO_OWNER)
+        if RequestId.parse(spec.request_id).epoch != self.claim.epoch:
+            return self._unknown_answer(spec.request_id)
+        entry = self._state.new_entry(spec, body_hash)
+        refusal = self._tools.scheduler.submit(spec, self._tools.clock.now_s())
+        if refusal is not None:
+            self._state.table.add(entry)
+            self._endings.refuse(entry, refusal)
+            return entry.answer
+        self._state.table.add(entry)
+        if entry.is_durable:
+            await self._starts.record_accepted(entry)
+        self._state.wakeup.set()
+        return entry.answer
+
+    async def wait(
+        self, request_id: str, team: str, timeout_s: float
+    ) -> Answer:
+        """Return the answer once it is final or the time is up."""
+        entry = self._visible_entry(request_id, team)
+        if entry is None:
+            return self._unknown_answer(request_id)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await entry.ended.wait()
+        except TimeoutError:
+            return entry.answer
+        return entry.answer
+
+    def cancel(
+        self, request_ids: Sequence[str], team: str
+    ) -> tuple[Answer, ...]:
+        """Cancel requests of a team; ended ones keep their answer."""
+        entries = [self._visible_entry(known, team) for known in request_ids]
+        present = [entry for entry in entries if entry is not None]
+        ids = [entry.request_id for entry in present]
+        waiting = frozenset(self._tools.scheduler.cancel(ids))
+        for entry in present:
+            if entry.is_closing:
+                continue
+            entry.is_cancelled = True
+            if entry.request_id in waiting and not entry.workers:
+                self._endings.refuse(entry, refusals.CANCELLED)
+            else:
+                self._state.stop_tasks(entry)
+        return tuple(
+            self._unknown_answer(request_id) if entry is None else entry.answer
+            for request_id, entry in zip(request_ids, entries, strict=True)
+        )
+
+    def answers(self, team: str) -> tuple[Answer, ...]:
+        """Return the answers of all requests of a team, or of all teams."""
+        return tuple(
+            entry.answer
+            for entry in self._state.table
+            if not team or entry.spec.team == team
+        )
+
+    def explain(self, request_id: str) -> str:
+        """Say why a request waits."""
+        entry = self._state.table.get(request_id)
+        if entry is None:
+            return 'unknown request'
+        if entry.ended.is_set() or entry.workers:
+            return f'{entry.answer.state}; nothing holds it back'
+        return self._tools.scheduler.explain(
+            request_id,
+            self._tools.clock.now_s(),
+        )
+
+    def preempt(self, worker: str, ids: tuple[str, ...]) -> None:
+        """Checkpoint tasks."""
+        link = self._state.links.get(worker)
+        if link is not None:
+            self._state.spawn(link.checkpoint(ids))
+
+    def shed(self, team: str, excess: Resources) -> None:
+        """Free at least ``excess`` of a team's room, latest starts first."""
+        left = excess
+        for entry in reversed(tuple(self._state.table)):
+            if not (left.slot_count > 0 or left.cpu_milli > 0):
+                return
+            if entry.spec.team != team or not entry.workers:
+                continue
+            for running_id, worker in entry.workers.items():
+                self.preempt(worker, (running_id,))
+                left -= entry.spec.resources
+
+    def load(self) -> OwnedPartition:
+        """Return the claim and the load of the partition."""
+        used = sum(self.usage().values(), Resources())
+        return OwnedPartition(
+            domain=self.claim.domain,
+            partition=self.claim.partition,
+            epoch=self.claim.epoch,
+            waiting_count=self.waiting_count(),
+            free=self.workers.open_capacity() - used,
+            largest=self.workers.largest_capacity(),
+        )
+
+    def usage(self) -> Mapping[str, Resources]:
+        """Return the room taken by each team."""
+        return self._tools.scheduler.usage()
+
+    def allotments(self) -> Mapping[str, Resources]:
+        """Return the allotment of each team."""
+        return {team: self.quotas.granted(team) for team in self.usage()}
+
+    def limits_revision(self) -> int:
+        """Return the revision whose team limits are in force here."""
+        return self.quotas.revision
+
+    def prompt_count(self) -> int:
+        """Return the number of prompt requests that have not ended."""
+        return self._state.table.open_prompt_count()
+
+    async def _open_journal(self) -> tuple[JournalRecord, ...]:
+        while True:
+            try:
+                return await self._tools.journal.open()
+            except (StoreUnavailableError, LostAnswerError) as exc:
+                self._state.log('journal_unavailable', error=exc)
+                await asyncio.sleep(_JOURNAL_RETRY_S)
+
+    async def _decide_rounds(self) -> None:
+        clock = self._tools.clock
+        while True:
+            try:
+                async with asyncio.timeout(_DECIDE_INTERVAL_S):
+                    await self._state.wakeup.wait()
+            except TimeoutError:
+                pass  # noqa: WPS420
+            self._state.wakeup.clear()
+            if clock.now_s() >= self._tools.deadline_s():
+                continue
+            began_s = clock.now_s()
+            decisions = self._tools.scheduler.decide(began_s)
+            self._tools.metrics.decided(clock.now_s() - began_s)
+            self._carry_out(decisions)
+
+    def _carry_out(self, decisions: Decisions) -> None:
+        for placement in decisions.placements:
+            self._starts.dispatch(placement)
+        for request_id, refusal in decisions.refused:
+            entry = self._state.table.get(request_id)
+            if entry is not None:
+                self._endings.refuse(entry, refusal)
+        for preemption in decisions.preemptions:
+            self.preempt(preemption.worker, (preemption.task_id,))
+
+    def _visible_entry(self, request_id: str, team: str) -> RequestEntry | None:
+        entry = self._state.table.get(request_id)
+        if entry is None or (team and entry.spec.team != team):
+            return None
+        return entry
+
+    def _unknown_answer(self, request_id: str) -> Answer:
+        is_settled = self._recovery.finished.is_set()
+        return Answer(
+            request_id=request_id,
+            state=RequestState.unknown,
+            reason='id_epoch_passed' if is_settled else _RECOVERING,
+            remedy=(
+                'the work may have run; submit with a new id to run it again'
+                if is_settled
+                else 'ask again; the owner is still reading its workers'
+            ),
+            can_retry=not is_settled,
+        )
--- /dev/null
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_owner_factory.py
@@ -0,0 +1,97 @@
+"""Creation of an owner from the parts of a daemon."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import attrs
+
+from currantreach_config import ConfigRecord, DaemonSettings, LimitsConfig
+from currantreach_daemon._metrics import Metrics
+from currantreach_daemon._owner import Owner
+from currantreach_daemon._owner_state import OwnerTools
+from currantreach_daemon._quotas import Quotas
+from currantreach_decisions import IndexedScheduler
+from currantreach_platform import Store, WorkerClient
+from currantreach_state import Allotments, Journal
+from currantreach_types import Clock
+
+if TYPE_CHECKING:
+    from currantreach_state import Claim
+
+__all__ = ('OwnerFactory',)
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class OwnerFactory:
+    """What each owner of a daemon shares.
+
+    :ivar read_config: returns the configuration in force.
+    :ivar deadline_s: returns the time after which nothing may be started.
+    """
+
+    settings: DaemonSettings
+    clock: Clock
+    store: Store
+    workers: WorkerClient
+    metrics: Metrics
+    read_config: Callable[[], ConfigRecord | None]
+    deadline_s: Callable[[], float]
+
+    def make(self, claim: Claim, has_full_consent: bool) -> Owner:
+        """Return the owner of a claim.
+
+        :param has_full_consent: whether every registered daemon consented,
+            so that no predecessor renews leases any more.
+        """
+        tools = self._tools(claim, has_full_consent)
+        owner = Owner(claim, tools)
+        owner.quotas = Quotas(
+            Allotments(
+                self.store,
+                self.clock,
+                f'{claim.domain}.{claim.partition}',
+                self._partition_keys(),
+            ),
+            tools.scheduler,
+            self.read_config,
+            owner.shed,
+            owner.has_limits,
+        )
+        return owner
+
+    def _tools(self, claim: Claim, has_full_consent: bool) -> OwnerTools:
+        record = self.read_config()
+        limits = LimitsConfig() if record is None else record.cell.limits
+        queues = () if record is None else record.cell.queues
+        settings = self.settings
+        unadopted_wait_s = settings.task_lease_s + settings.session_ttl_s
+        if not has_full_consent:
+            unadopted_wait_s = limits.outage_limit_s
+        return OwnerTools(
+            clock=self.clock,
+            scheduler=IndexedScheduler(
+                {queue.name: queue.queue_limit for queue in queues},
+            ),
+            journal=Journal(
+                self.store,
+                self.clock,
+                claim.domain,
+                claim.partition,
+                claim.epoch,
+            ),
+            workers=self.workers,
+            metrics=self.metrics,
+            deadline_s=self.deadline_s,
+            task_lease_s=settings.task_lease_s,
+            result_retention_s=limits.result_retention_s,
+            unadopted_wait_s=unadopted_wait_s,
+        )
+
+    def _partition_keys(self) -> list[str]:
+        return [
+            f'{domain}.{partition}'
+            for domain in self.settings.domains
+            for partition in range(self.settings.partition_count)
+        ]
--- /dev/null
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_owner_state.py
@@ -0,0 +1,180 @@
+"""State that the parts of an owner share."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import attrs
+
+from currantreach_daemon._log import log_event, log_problem
+from currantreach_daemon._metrics import Metrics
+from currantreach_daemon._requests import RequestEntry, RequestTable
+from currantreach_decisions import Scheduler
+from currantreach_platform import WorkerClient
+from currantreach_state import Journal, JournalRecord, RecordKind
+from currantreach_types import (
+    Answer,
+    Clock,
+    PolicyKind,
+    RequestState,
+    encode_json,
+)
+from currantreach_types.errors import PlatformError, StaleEpochError
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from currantreach_daemon._worker_link import WorkerLink
+    from currantreach_decisions import TaskEnd
+    from currantreach_state import Claim
+    from currantreach_types import TaskSpec, WorkerInfo
+
+__all__ = ('OwnerState', 'OwnerTools', 'journal_record')
+
+_ENDED_LIMIT = 20000
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class OwnerTools:
+    """What an owner works with.
+
+    :ivar deadline_s: returns the time after which no start may be sent.
+    :ivar unadopted_wait_s: how long tasks of workers that the predecessor
+        may still reach stay unknown.
+    """
+
+    clock: Clock
+    scheduler: Scheduler
+    journal: Journal
+    workers: WorkerClient
+    metrics: Metrics
+    deadline_s: Callable[[], float]
+    task_lease_s: float
+    result_retention_s: float
+    unadopted_wait_s: float
+
+
+class OwnerState:
+    """Requests, workers and background work of one owner.
+
+    :ivar lost: set once another daemon owns the partition.
+    :ivar has_limits: set once the team limits are known.
+    :ivar wakeup: set when a round of decisions can change something.
+    :ivar links: link to each worker.
+    :ivar hosts: host list entry of each worker.
+    :ivar closed: workers that receive no new task.
+    """
+
+    def __init__(self, claim: Claim, tools: OwnerTools) -> None:
+        """Start without requests and workers."""
+        self.claim = claim
+        self.tools = tools
+        self.lost = asyncio.Event()
+        self.has_limits = asyncio.Event()
+        self.wakeup = asyncio.Event()
+        self.table = RequestTable(_ENDED_LIMIT)
+        self.links: dict[str, WorkerLink] = {}
+        self.hosts: dict[str, WorkerInfo] = {}
+        self.closed: set[str] = set()
+        self._background: set[asyncio.Task[None]] = set()
+
+    def now_s(self) -> float:
+        """Return the monotonic time in seconds."""
+        return self.tools.clock.now_s()
+
+    def log(self, event: str, **fields: object) -> None:
+        """Write one line about this partition."""
+        log_event(
+            event,
+            domain=self.claim.domain,
+            partition=self.claim.partition,
+            epoch=self.claim.epoch,
+            **fields,
+        )
+
+    def spawn(self, work: Coroutine[object, object, None]) -> None:
+        """Run work in the background; platform errors are logged."""
+        running = asyncio.create_task(_guarded(work))
+        self._background.add(running)
+        running.add_done_callback(self._background.discard)
+
+    async def cancel_background(self) -> None:
+        """Stop all background work."""
+        running = tuple(self._background)
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+
+    def give_back(self, task_id: str, end: TaskEnd) -> None:
+        """Free the room of a task."""
+        self.tools.scheduler.end_task(task_id, end, self.now_s())
+
+    def stop_tasks(self, entry: RequestEntry) -> None:
+        """Tell the workers to stop the tasks of a request."""
+        by_worker: dict[str, list[str]] = {}
+        for task_id, worker in entry.workers.items():
+            by_worker.setdefault(worker, []).append(task_id)
+        for name, ids in by_worker.items():
+            link = self.links.get(name)
+            if link is not None:
+                self.spawn(link.stop(tuple(ids)))
+
+    def new_entry(self, spec: TaskSpec, body_hash: str) -> RequestEntry:
+        """Return an entry for a request that was just accepted."""
+        return RequestEntry(
+            spec=spec,
+            body_hash=body_hash,
+            submitted_s=self.now_s(),
+            answer=Answer(
+                request_id=spec.request_id,
+                state=RequestState.accepted,
+            ),
+            is_durable=spec.policy != PolicyKind.prompt,
+        )
+
+    async def append(
+        self,
+        entry: RequestEntry,
+        kind: RecordKind,
+        answer: Answer | None = None,
+    ) -> None:
+        """Write a record of a request to the journal."""
+        try:
+            await self.tools.journal.append(
+                journal_record(entry, kind, answer),
+            )
+        except StaleEpochError:
+            self.lost.set()
+            raise
+
+
+def journal_record(
+    entry: RequestEntry,
+    kind: RecordKind,
+    answer: Answer | None = None,
+) -> JournalRecord:
+    """Return the journal record of a request.
+
+    A request that is about to start has its intents in place of an answer.
+    """
+    answer_json = ''
+    if kind == RecordKind.starting:
+        answer_json = encode_json(entry.intents).decode()
+    elif answer is not None:
+        answer_json = encode_json(answer).decode()
+    return JournalRecord(
+        request_id=entry.request_id,
+        kind=kind,
+        spec_json=encode_json(entry.spec).decode(),
+        answer_json=answer_json,
+        body_hash=entry.body_hash,
+    )
+
+
+async def _guarded(work: Coroutine[object, object, None]) -> None:
+    try:
+        await work
+    except PlatformError as exc:
+        log_problem('platform_error', error=exc)
--- /dev/null
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_quotas.py
@@ -0,0 +1,109 @@
+"""Team limits of one partition."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from currantreach_daemon._log import log_problem
+from currantreach_decisions import TeamTerms
+from currantreach_types import Resources
+from currantreach_types.errors import PlatformError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from currantreach_config import ConfigRecord, TeamConfig
+    from currantreach_decisions import Scheduler
+    from currantreach_state import Allotments
+
+__all__ = ('Quotas',)
+
+_REFRESH_INTERVAL_S = 0.25
+
+
+class Quotas:
+    """Keeps the scheduler's team terms in line with the allotments.
+
+    :param shed: called with a team and the room it has to give back.
+    :param has_limits: set once all teams have an allotment.
+    """
+
+    def __init__(
+        self,
+        allotments: Allotments,
+        scheduler: Scheduler,
+        read_config: Callable[[], ConfigRecord | None],
+        shed: Callable[[str, Resources], None],
+        has_limits: asyncio.Event,
+    ) -> None:
+        """Start without any allotment."""
+        self.revision = 0
+        self._allotments = allotments
+        self._scheduler = scheduler
+        self._read_config = read_config
+        self._shed = shed
+        self._has_limits = has_limits
+
+    async def keep(self) -> None:
+        """Refresh the allotments for ever."""
+        while True:
+            record = self._read_config()
+            if record is not None:
+                await self._refresh(record)
+            await asyncio.sleep(_REFRESH_INTERVAL_S)
+
+    def granted(self, team: str) -> Resources:
+        """Return the allotment of a team."""
+        return self._allotments.granted(team)
+
+    async def _refresh(self, record: ConfigRecord) -> None:
+        usage = self._scheduler.usage()
+        demand = self._scheduler.demand()
+        for team in record.cell.teams:
+            used = usage.get(team.name, Resources())
+            try:
+                await self._allotments.refresh(
+                    team.name,
+                    team.upper_limit,
+                    used,
+                    demand.get(team.name, Resources()),
+                )
+            except PlatformError as exc:
+                log_problem(
+                    'allotment_failed',
+                    team=team.name,
+                    error=exc,
+                )
+                return
+        self._set_terms(record)
+        self._has_limits.set()
+        self._shed_excess(record)
+
+    def _set_terms(self, record: ConfigRecord) -> None:
+        self._scheduler.set_teams(
+            {
+                team.name: TeamTerms(
+                    share=team.share,
+                    allotment=self._allotments.granted(team.name),
+                )
+                for team in record.cell.teams
+            },
+        )
+
+    def _shed_excess(self, record: ConfigRecord) -> None:
+        usage = self._scheduler.usage()
+        is_in_force = True
+        for team in record.cell.teams:
+            excess = self._allotments.excess(
+                team.name,
+                usage.get(team.name, Resources()),
+            )
+            if excess != Resources():
+                self._shed(team.name, excess)
+            is_in_force = is_in_force and self._is_in_force(team)
+        if is_in_force:
+            self.revision = record.revision
+
+    def _is_in_force(self, team: TeamConfig) -> bool:
+        return self._allotments.is_in_force(team.name, team.upper_limit)
--- /dev/null
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_recovery.py
@@ -0,0 +1,157 @@
+"""Recovery of requests from the journal and the workers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from currantreach_daemon._requests import StartIntent, body_hash_of
+from currantreach_decisions import Placement
+from currantreach_state import RecordKind
+from currantreach_types import (
+    Answer,
+    PolicyKind,
+    RequestState,
+    TaskSpec,
+    decode_json,
+)
+from currantreach_types.errors import MalformedMessageError
+
+if TYPE_CHECKING:
+    from currantreach_daemon._endings import Endings
+    from currantreach_daemon._owner_state import OwnerState
+    from currantreach_daemon._requests import RequestEntry
+    from currantreach_daemon._starts import Starts
+    from currantreach_state import JournalRecord
+    from currantreach_types import WorkerTask
+
+__all__ = ('Recovery',)
+
+_POLL_S = 0.05
+
+
+class Recovery:
+    """Finds out what the predecessor left behind.
+
+    :ivar finished: set once requests that run nowhere were queued again.
+    """
+
+    def __init__(
+        self,
+        state: OwnerState,
+        starts: Starts,
+        endings: Endings,
+    ) -> None:
+        """Work on the state of one owner."""
+        self.finished = asyncio.Event()
+        self._state = state
+        self._starts = starts
+        self._endings = endings
+        self._waiting: list[RequestEntry] = []
+        self._boot_ids: dict[str, str] = {}
+        self._opened_s = state.now_s()
+
+    def note_adopted(self, worker: str, boot_id: str) -> None:
+        """Note that the inventory of a worker was read."""
+        self._boot_ids.setdefault(worker, boot_id)
+
+    def add_record(self, record: JournalRecord) -> None:
+        """Take over a request of the journal."""
+        spec = decode_json(record.spec_json, TaskSpec)
+        entry = self._state.new_entry(spec, record.body_hash)
+        entry.is_recorded = True
+        self._state.table.add(entry)
+        if record.kind == RecordKind.ended:
+            answer = decode_json(record.answer_json, Answer)
+            entry.is_closing = True
+            self._state.table.end(entry, answer, self._state.now_s())
+            return
+        # Unrepeatable requests are recorded before they start; of others the
+        # journal does not tell whether they did.
+        is_starting = record.kind == RecordKind.starting
+        entry.may_have_run = is_starting or not spec.is_unrepeatable
+        if is_starting:
+            entry.intents = decode_json(
+                record.answer_json,
+                dict[str, StartIntent],
+            )
+        self._waiting.append(entry)
+
+    def entry_of(self, task: WorkerTask) -> RequestEntry | None:
+        """Return a new entry for a prompt task found on a worker."""
+        try:
+            spec = decode_json(task.spec_json, TaskSpec)
+        except MalformedMessageError:
+            return None
+        if spec.policy != PolicyKind.prompt:
+            return None
+        entry = self._state.new_entry(spec, body_hash_of(spec))
+        self._state.table.add(entry)
+        return entry
+
+    def count_task(
+        self,
+        entry: RequestEntry,
+        worker: str,
+        task: WorkerTask,
+    ) -> None:
+        """Count a task that this owner did not place."""
+        if task.task_id in entry.workers:
+            return
+        entry.workers[task.task_id] = worker
+        placement = Placement(
+            task_id=task.task_id,
+            spec=entry.spec,
+            worker=worker,
+            resources=task.resources,
+        )
+        self._state.tools.scheduler.recover(placement, self._state.now_s())
+
+    async def finish(self) -> None:
+        """Wait for the workers, then queue again what runs nowhere."""
+        await self._state.has_limits.wait()
+        while not self._is_over():
+            await asyncio.sleep(_POLL_S)
+        for entry in self._waiting:
+            if not entry.is_closing:
+                self._settle(entry)
+        self._waiting.clear()
+        self.finished.set()
+        self._state.log('recovered', requests=self._state.table.open_count())
+
+    def _settle(self, entry: RequestEntry) -> None:
+        found = len(entry.workers) + len(entry.outputs)
+        if found == entry.spec.gang_size:
+            return
+        if entry.spec.is_unrepeatable and self._has_not_started(entry):
+            entry.may_have_run = False
+        if not found and entry.may_have_run and entry.spec.is_unrepeatable:
+            self._endings.end(
+                entry,
+                RequestState.unknown,
+                reason='owner_lost',
+            )
+        else:
+            self._starts.settle_partial(entry)
+
+    def _has_not_started(self, entry: RequestEntry) -> bool:
+        """Tell whether the inventories prove that no task was started.
+
+        They list each task of an unrepeatable request until its end is
+        recorded, unless the worker restarted.
+        """
+        if entry.workers or entry.outputs:
+            return False
+        return all(
+            self._boot_ids.get(intent.worker) == intent.boot_id
+            for intent in entry.intents.values()
+        )
+
+    def _is_over(self) -> bool:
+        waited_s = self._state.now_s() - self._opened_s
+        if waited_s >= self._state.tools.unadopted_wait_s:
+            return True
+        return (
+            bool(self._state.hosts)
+            and self._boot_ids.keys() >= self._state.hosts.keys()
+        )
--- /dev/null
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_replies.py
@@ -0,0 +1,91 @@
+"""Reading of bodies and writing of answers over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import types
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from currantreach_types import RequestState, encode_json, refusals
+from currantreach_types.errors import MalformedMessageError
+
+if TYPE_CHECKING:
+    from currantreach_types import Answer
+
+__all__ = (
+    'answer_response',
+    'authorization_of',
+    'json_response',
+    'read_body',
+)
+
+_BODY_TIMEOUT_S = 5
+_STATUS_BY_REASON = types.MappingProxyType(
+    {
+        refusals.KEY_MISSING.reason: HTTPStatus.UNAUTHORIZED,
+        refusals.KEY_UNKNOWN.reason: HTTPStatus.UNAUTHORIZED,
+        refusals.KEY_WITHDRAWN.reason: HTTPStatus.UNAUTHORIZED,
+        refusals.KEY_OTHER_TEAM.reason: HTTPStatus.FORBIDDEN,
+        refusals.QUEUE_NOT_OPEN.reason: HTTPStatus.FORBIDDEN,
+        refusals.ID_REUSED.reason: HTTPStatus.CONFLICT,
+        refusals.TEAM_RATE.reason: HTTPStatus.TOO_MANY_REQUESTS,
+    },
+)
+
+
+async def read_body(request: web.Request) -> bytes:
+    """Read a body within the time limit.
+
+    :raises MalformedMessageError: if the body does not end in time.
+    """
+    try:
+        async with asyncio.timeout(_BODY_TIMEOUT_S):
+            return await request.read()
+    except TimeoutError as exc:
+        raise MalformedMessageError(
+            f'the body did not end within {_BODY_TIMEOUT_S} s; send it faster',
+        ) from exc
+
+
+def authorization_of(request: web.Request) -> str:
+    """Return the authorization header, empty if there is none."""
+    return request.headers.get('Authorization', '')
+
+
+def json_response(
+    message: object,
+    status: HTTPStatus = HTTPStatus.OK,
+) -> web.Response:
+    """Return a JSON response."""
+    return web.Response(
+        body=encode_json(message),
+        status=status,
+        content_type='application/json',
+    )
+
+
+def answer_response(answer: Answer) -> web.Response:
+    """Return the answer to a request with the status that fits it."""
+    response = json_response(answer, _status_of(answer))
+    if answer.retry_after_s:
+        response.headers['Retry-After'] = str(int(answer.retry_after_s) or 1)
+    return response
+
+
+def _status_of(answer: Answer) -> HTTPStatus:
+    if answer.state in {RequestState.accepted, RequestState.running}:
+        return HTTPStatus.ACCEPTED
+    if answer.state == RequestState.unknown:
+        if answer.can_retry:
+            return HTTPStatus.GATEWAY_TIMEOUT
+        return HTTPStatus.NOT_FOUND
+    if answer.state != RequestState.not_run:
+        return HTTPStatus.OK
+    if answer.can_retry:
+        default = HTTPStatus.SERVICE_UNAVAILABLE
+    else:
+        default = HTTPStatus.UNPROCESSABLE_ENTITY
+    return _STATUS_BY_REASON.get(answer.reason, default)
--- /dev/null
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_router.py
@@ -0,0 +1,311 @@
+"""Routing of requests to the owner of their partition."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from currantreach_daemon._messages import (
+    CancelMessage,
+    IdMessage,
+    IdReply,
+    ListMessage,
+    ListReply,
+    OwnedPartition,
+    SubmitMessage,
+    TextReply,
+    WaitMessage,
+)
+from currantreach_daemon._requests import not_run_answer
+from currantreach_links import NotSentError
+from currantreach_types import Answer, RequestId, RequestState, refusals
+from currantreach_types.errors import LinkError
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from currantreach_daemon._metrics import Metrics
+    from currantreach_daemon._owner import Owner
+    from currantreach_daemon._peers import Peer, PeerTable
+    from currantreach_types import Refusal, Resources, TaskSpec
+
+__all__ = ('Router',)
+
+_SUBMIT_TIMEOUT_S = 4
+_CALL_TIMEOUT_S = 2
+# Work stays in the caller's failure domain until its queue is this much
+# longer than elsewhere, since links between failure domains are slow.
+_LOCAL_PREFERENCE = 8
+_ASK_AGAIN_S = 0.1
+_OWNER_TRIES = 8
+_NONE: frozenset[str] = frozenset()
+_UNDECIDED = frozenset(
+    (refusals.NO_OWNER.reason, refusals.OWNER_UNREACHABLE.reason),
+)
+
+
+class Router:
+    """Finds the owner of a request and talks to it.
+
+    :ivar owners: partitions that this daemon owns.
+    """
+
+    def __init__(
+        self,
+        domain: str,
+        owners: Mapping[int, Owner],
+        peers: PeerTable,
+        metrics: Metrics,
+    ) -> None:
+        """Route from a daemon of ``domain``."""
+        self._domain = domain
+        self.owners = owners
+        self._peers = peers
+        self._metrics = metrics
+
+    async def issue_id(
+        self,
+        resources: Resources,
+        passed_over: frozenset[str] = _NONE,
+    ) -> str | Refusal:
+        """Return a new id of the partition that suits a task best.
+
+        :param passed_over: ``domain.partition`` keys not to choose.
+        """
+        candidates = [
+            (peer, owned)
+            for peer, owned in self._candidates()
+            if f'{owned.domain}.{owned.partition}' not in passed_over
+        ]
+        candidates.sort(key=lambda pair: self._rank(pair[1], resources))
+        for peer, owned in candidates:
+            if peer is None:
+                local = self.owners.get(owned.partition)
+                if local is not None:
+                    return local.issue_id()
+                continue
+            try:
+                reply = await peer.link.call(
+                    'issue_id',
+                    IdMessage(domain=owned.domain, partition=owned.partition),
+                    IdReply,
+                    _CALL_TIMEOUT_S,
+                )
+            except LinkError:
+                self._metrics.retried('owner_unreachable')
+                continue
+            if reply.request_id:
+                return reply.request_id
+        return refusals.NO_OWNER
+
+    async def submit(
+        self,
+        spec: TaskSpec,
+        body_hash: str,
+        *,
+        is_repeated: bool,
+    ) -> Answer:
+        """Hand a request to the owner of its partition.
+
+        :param is_repeated: whether the caller sent it before; only the owner
+            can then tell that it was not run.
+        """
+        answer = await self._submit_once(spec, body_hash)
+        tries_left = _OWNER_TRIES
+        while tries_left and answer.reason == refusals.NO_OWNER.reason:
+            # Heartbeats may not have told of a new owner yet.
+            tries_left -= 1
+            await asyncio.sleep(_ASK_AGAIN_S)
+            answer = await self._submit_once(spec, body_hash)
+        if is_repeated and answer.reason in _UNDECIDED:
+            return _unsettled_answer(spec.request_id)
+        return answer
+
+    async def wait(
+        self,
+        request_id: str,
+        team: str,
+        timeout_s: float,
+    ) -> Answer:
+        """Return the answer to a request once it ends or time is up.
+
+        While the owner changes, the successor is asked until it knows.
+        """
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + timeout_s
+        while True:
+            left_s = max(float(0), end_s - loop.time())
+            answer = await self._wait_once(request_id, team, left_s)
+            is_unsettled = answer.state == RequestState.unknown
+            if not (is_unsettled and answer.can_retry and left_s):
+                return answer
+            await asyncio.sleep(_ASK_AGAIN_S)
+
+    async def explain(self, request_id: str) -> str:
+        """Return why a request waits."""
+        owner = self._owner(request_id)
+        if owner is None:
+            return refusals.NO_OWNER.remedy
+        if not isinstance(owner, PeerOwner):
+            return owner.explain(request_id)
+        try:
+            reply = await owner.peer.link.call(
+                'explain',
+                WaitMessage(request_id=request_id, team='', timeout_s=0),
+                TextReply,
+                _CALL_TIMEOUT_S,
+            )
+        except LinkError:
+            return refusals.OWNER_UNREACHABLE.remedy
+        return reply.text
+
+    async def cancel(
+        self,
+        request_ids: Sequence[str],
+        team: str,
+    ) -> tuple[Answer, ...]:
+        """Cancel requests, one call for each partition."""
+        by_partition: dict[tuple[str, int], list[str]] = {}
+        for request_id in request_ids:
+            parsed = RequestId.parse(request_id)
+            key = (parsed.domain, parsed.partition)
+            by_partition.setdefault(key, []).append(request_id)
+        answers: list[Answer] = []
+        for ids in by_partition.values():
+            answers.extend(await self._cancel_at(tuple(ids), team))
+        return tuple(answers)
+
+    async def list_requests(self, team: str) -> tuple[Answer, ...]:
+        """Return the requests of a team in all reachable partitions."""
+        answers: list[Answer] = []
+        for peer, owned in self._candidates():
+            if peer is None:
+                answers.extend(self.owners[owned.partition].answers(team))
+                continue
+            try:
+                reply = await peer.link.call(
+                    'list',
+                    ListMessage(
+                        domain=owned.domain,
+                        partition=owned.partition,
+                        team=team,
+                    ),
+                    ListReply,
+                    _CALL_TIMEOUT_S,
+                )
+            except LinkError:
+                continue
+            answers.extend(reply.answers)
+        return tuple(answers)
+
+    async def _submit_once(self, spec: TaskSpec, body_hash: str) -> Answer:
+        request_id = spec.request_id
+        owner = self._owner(request_id)
+        if owner is None:
+            return not_run_answer(request_id, refusals.NO_OWNER)
+        if not isinstance(owner, PeerOwner):
+            return await owner.submit(spec, body_hash)
+        try:
+            return await owner.peer.link.call(
+                'submit',
+                SubmitMessage(spec=spec, body_hash=body_hash),
+                Answer,
+                _SUBMIT_TIMEOUT_S,
+            )
+        except NotSentError:
+            return not_run_answer(request_id, refusals.OWNER_UNREACHABLE)
+        except LinkError:
+            return _unsettled_answer(request_id)
+
+    async def _wait_once(
+        self,
+        request_id: str,
+        team: str,
+        timeout_s: float,
+    ) -> Answer:
+        owner = self._owner(request_id)
+        if owner is None:
+            return _unsettled_answer(request_id)
+        if not isinstance(owner, PeerOwner):
+            return await owner.wait(request_id, team, timeout_s)
+        try:
+            return await owner.peer.link.call(
+                'wait',
+                WaitMessage(
+                    request_id=request_id,
+                    team=team,
+                    timeout_s=timeout_s,
+                ),
+                Answer,
+                timeout_s + _CALL_TIMEOUT_S,
+            )
+        except LinkError:
+            return _unsettled_answer(request_id)
+
+    def _owner(self, request_id: str) -> Owner | PeerOwner | None:
+        parsed = RequestId.parse(request_id)
+        if parsed.domain == self._domain:
+            local = self.owners.get(parsed.partition)
+            if local is not None:
+                return local
+        peer = self._peers.owner_of(parsed.domain, parsed.partition)
+        return None if peer is None else PeerOwner(peer)
+
+    async def _cancel_at(
+        self,
+        ids: tuple[str, ...],
+        team: str,
+    ) -> tuple[Answer, ...]:
+        owner = self._owner(ids[0])
+        if owner is None:
+            return tuple(_unsettled_answer(known) for known in ids)
+        if not isinstance(owner, PeerOwner):
+            return owner.cancel(ids, team)
+        try:
+            reply = await owner.peer.link.call(
+                'cancel',
+                CancelMessage(request_ids=ids, team=team),
+                ListReply,
+                _CALL_TIMEOUT_S,
+            )
+        except LinkError:
+            return tuple(_unsettled_answer(known) for known in ids)
+        return reply.answers
+
+    def _candidates(self) -> list[tuple[Peer | None, OwnedPartition]]:
+        found: list[tuple[Peer | None, OwnedPartition]] = [
+            (None, owner.load()) for owner in self.owners.values()
+        ]
+        found.extend(self._peers.owners())
+        return found
+
+    def _rank(
+        self,
+        owned: OwnedPartition,
+        resources: Resources,
+    ) -> tuple[bool, bool, int]:
+        distance = 0 if owned.domain == self._domain else _LOCAL_PREFERENCE
+        return (
+            not resources.fits_in(owned.largest),
+            not resources.fits_in(owned.free),
+            owned.waiting_count + distance,
+        )
+
+
+class PeerOwner:
+    """Owner that another daemon runs."""
+
+    def __init__(self, peer: Peer) -> None:
+        """Name the peer."""
+        self.peer = peer
+
+
+def _unsettled_answer(request_id: str) -> Answer:
+    return Answer(
+        request_id=request_id,
+        state=RequestState.unknown,
+        reason='owner_unreachable',
+        remedy='ask again for this request id; it may have run',
+        can_retry=True,
+        retry_after_s=1,
+    )
--- /dev/null
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_task_events.py
@@ -0,0 +1,180 @@
+"""Reaction to what happens on workers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from currantreach_daemon._worker_link import WorkerListener
+from currantreach_decisions import TaskEnd
+from currantreach_types import RequestState, Resources, TaskPhase
+
+if TYPE_CHECKING:
+    from currantreach_daemon._endings import Endings
+    from currantreach_daemon._owner_state import OwnerState
+    from currantreach_daemon._recovery import Recovery
+    from currantreach_daemon._requests import RequestEntry
+    from currantreach_daemon._starts import Starts
+    from currantreach_decisions import Placement
+    from currantreach_types import Inventory, WorkerTask
+
+__all__ = ('TaskEvents',)
+
+_ATTEMPT_LIMIT = 3
+
+
+class TaskEvents(WorkerListener):
+    """Follows tasks through their phases."""
+
+    def __init__(
+        self,
+        state: OwnerState,
+        starts: Starts,
+        endings: Endings,
+        recovery: Recovery,
+    ) -> None:
+        """Work on the state of one owner."""
+        self._state = state
+        self._starts = starts
+        self._endings = endings
+        self._recovery = recovery
+
+    def worker_adopted(self, worker: str, inventory: Inventory) -> None:
+        """Open the worker for new tasks."""
+        self._recovery.note_adopted(worker, inventory.boot_id)
+        self._state.log(
+            'worker_adopted', worker=worker, tasks=len(inventory.tasks)
+        )
+        is_open = worker not in self._state.closed
+        self._state.tools.scheduler.set_worker(
+            self._state.hosts[worker], is_open=is_open
+        )
+        self._state.wakeup.set()
+
+    def worker_disconnected(self, worker: str) -> None:
+        """Close the worker for new tasks."""
+        self._state.log('worker_disconnected', worker=worker)
+        self._state.tools.scheduler.set_worker(
+            self._state.hosts[worker], is_open=False
+        )
+
+    def task_seen(self, worker: str, task: WorkerTask) -> None:
+        """Follow a task's phase."""
+        request_id = task.task_id.rpartition('/')[0]
+        entry = self._state.table.get(request_id)
+        if entry is None:
+            entry = self._recovery.entry_of(task)
+        if entry is not None and task.task_id in entry.outputs:
+            return
+        if entry is None or self._is_stray(entry, worker, task):
+            self._endings.end_stray(entry, worker, task)
+            return
+        self._recovery.count_task(entry, worker, task)
+        entry.may_have_run = True
+        if task.phase == TaskPhase.running:
+            self._note_running(entry, task)
+            return
+        self._note_ended(entry, worker, task)
+        self._state.wakeup.set()
+
+    def task_not_started(self, placement: Placement) -> None:
+        """Queue a request again whose start had no effect."""
+        self._starts.note_not_started(placement)
+
+    def task_lost(self, worker: str, task_id: str) -> None:
+        """Run a lost task again if that is allowed."""
+        self._state.give_back(task_id, TaskEnd.lost)
+        entry = self._state.table.get(task_id.rpartition('/')[0])
+        if entry is None or entry.is_closing:
+            return
+        entry.may_have_run = True
+        entry.workers.pop(task_id, None)
+        self._state.log('task_lost', task=task_id, worker=worker)
+        if entry.spec.is_unrepeatable:
+            self._endings.end(entry, RequestState.unknown, reason='worker_lost')
+            self._state.stop_tasks(entry)
+            return
+        self._state.tools.metrics.retried('worker_lost')
+        self._starts.settle_partial(entry)
+
+    def ownership_lost(self) -> None:
+        """Stop, since a worker obeys a higher epoch."""
+        self._state.lost.set()
+
+    def _is_stray(
+        self,
+        entry: RequestEntry,
+        worker: str,
+        task: WorkerTask,
+    ) -> bool:
+        if entry.is_closing:
+            return True
+        if entry.workers.get(task.task_id, worker) != worker:
+            return True
+        has_ended = task.phase != TaskPhase.running
+        return has_ended and (worker, task.task_id) in entry.closed_on
+
+    def _note_running(self, entry: RequestEntry, task: WorkerTask) -> None:
+        if entry.is_cancelled:
+            self._state.stop_tasks(entry)
+        if task.observed != Resources():
+            self._state.tools.scheduler.observe(
+                task.task_id,
+                task.observed,
+                self._state.now_s(),
+            )
+        if entry.answer.state == RequestState.running:
+            return
+        entry.attempt_count += 1
+        waited_s = self._state.now_s() - entry.submitted_s
+        self._state.tools.metrics.waited(entry.spec.workload, waited_s)
+        entry.answer = attrs.evolve(
+            entry.answer,
+            state=RequestState.running,
+            waited_s=waited_s,
+        )
+
+    def _note_ended(
+        self,
+        entry: RequestEntry,
+        worker: str,
+        task: WorkerTask,
+    ) -> None:
+        ends = {
+            TaskPhase.finished: TaskEnd.finished,
+            TaskPhase.failed: TaskEnd.failed,
+            TaskPhase.stopped: TaskEnd.checkpointed,
+            TaskPhase.expired: TaskEnd.lost,
+        }
+        self._state.give_back(task.task_id, ends[task.phase])
+        entry.workers.pop(task.task_id, None)
+        entry.closed_on.add((worker, task.task_id))
+        if task.phase == TaskPhase.finished:
+            entry.outputs[task.task_id] = task.output
+            self._endings.retire_later(entry, worker, task)
+            self._endings.finish_if_complete(entry)
+            return
+        if entry.spec.is_unrepeatable:
+            self._endings.retire_later(entry, worker, task)
+        else:
+            self._endings.retire_task(worker, task.task_id)
+        self._end_or_retry(entry, task.phase)
+
+    def _end_or_retry(self, entry: RequestEntry, phase: TaskPhase) -> None:
+        is_spent = entry.attempt_count >= _ATTEMPT_LIMIT
+        if entry.is_cancelled:
+            if not entry.workers:
+                self._endings.end(
+                    entry, RequestState.failed, reason='cancelled'
+                )
+        elif phase == TaskPhase.stopped and not entry.spec.is_unrepeatable:
+            self._starts.settle_partial(entry)
+        elif entry.spec.is_unrepeatable or is_spent:
+            self._state.stop_tasks(entry)
+            self._endings.end(
+                entry, RequestState.failed, reason=f'task_{phase}'
+            )
+        else:
+            self._state.tools.metrics.retried(f'task_{phase}')
+            self._starts.settle_partial(entry)
--- /dev/null
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_worker_link.py
@@ -0,0 +1,317 @@
+"""Link to one worker: adoption, starts, lease renewal and events."""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+from typing import TYPE_CHECKING
+
+from currantreach_types import (
+    StartOrder,
+    StartOutcome,
+    TaskPhase,
+    WorkerInfo,
+    WorkerTask,
+    encode_json,
+)
+from currantreach_types.errors import StaleEpochError, WorkerUnavailableError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from currantreach_decisions import Placement
+    from currantreach_platform import WorkerClient
+    from currantreach_types import (
+        Clock,
+        Inventory,
+        StartResult,
+    )
+
+__all__ = ('WorkerLink', 'WorkerListener')
+
+_EVENTS_TIMEOUT_S = 10
+_ADOPT_RETRY_S = 0.25
+# A start order is settled soon after its answer was lost, since the worker
+# refuses it once this window has passed.
+_START_WINDOW_S = 1
+_RENEWALS_PER_LEASE = 4
+_LOSS_MARGIN_S = 1
+_MS_PER_S = 1000
+
+
+class WorkerListener(abc.ABC):
+    """Receiver of what happens on workers."""
+
+    @abc.abstractmethod
+    def worker_adopted(self, worker: str, inventory: Inventory) -> None:
+        """Note that a worker obeys this owner."""
+
+    @abc.abstractmethod
+    def worker_disconnected(self, worker: str) -> None:
+        """Note that a worker does not answer."""
+
+    @abc.abstractmethod
+    def task_seen(self, worker: str, task: WorkerTask) -> None:
+        """Note the phase of a task on a worker."""
+
+    @abc.abstractmethod
+    def task_not_started(self, placement: Placement) -> None:
+        """Note that a start certainly had no effect."""
+
+    @abc.abstractmethod
+    def task_lost(self, worker: str, task_id: str) -> None:
+        """Note that a task certainly runs no more."""
+
+    @abc.abstractmethod
+    def ownership_lost(self) -> None:
+        """Note that a worker obeys a higher epoch."""
+
+
+class WorkerLink:
+    """Connection to one worker under one epoch.
+
+    :param deadline_s: returns the time after which no start may be sent.
+    :param lease_s: task lease, extended by renewals.
+    :ivar is_connected: whether the worker was adopted and answers.
+    :ivar boot_id: boot of the worker that was adopted.
+    """
+
+    def __init__(
+        self,
+        worker: WorkerInfo,
+        client: WorkerClient,
+        clock: Clock,
+        epoch: int,
+        owner_name: str,
+        listener: WorkerListener,
+        deadline_s: Callable[[], float],
+        lease_s: float,
+    ) -> None:
+        """Prepare the link; :meth:`run` does the work."""
+        self.worker = worker
+        self.is_connected = False
+        self._client = client
+        self._clock = clock
+        self._epoch = epoch
+        self._owner_name = owner_name
+        self._listener = listener
+        self._deadline_s = deadline_s
+        self._lease_s = lease_s
+        self._waiting: list[Placement] = []
+        self._wakeup = asyncio.Event()
+        self._unsettled: dict[str, tuple[Placement, int]] = {}
+        self._running: set[str] = set()
+        self._is_stale = False
+        self.boot_id = ''
+        self._sequence = 0
+        self._clock_base_ms = 0
+        self._clock_read_s = float(0)
+        self._lease_end_s = clock.now_s() + lease_s
+
+    async def run(self) -> None:
+        """Serve the worker until the epoch has passed."""
+        while not self._is_stale:
+            try:
+                await self._adopt()
+                await self._serve()
+            except* WorkerUnavailableError:
+                self._disconnect()
+            except* StaleEpochError:
+                self._is_stale = True
+            await asyncio.sleep(_ADOPT_RETRY_S)
+            self._expire_lost()
+        self._listener.ownership_lost()
+
+    def start(self, placement: Placement) -> None:
+        """Queue the start of a task."""
+        self._waiting.append(placement)
+        self._wakeup.set()
+
+    async def stop(self, task_ids: tuple[str, ...]) -> None:
+        """Stop tasks."""
+        await self._client.stop(self.worker, self._epoch, task_ids)
+
+    async def checkpoint(self, task_ids: tuple[str, ...]) -> None:
+        """Checkpoint tasks."""
+        await self._client.checkpoint(self.worker, self._epoch, task_ids)
+
+    async def retire(self, task_ids: tuple[str, ...]) -> None:
+        """Let the worker forget ended tasks."""
+        await self._client.retire(self.worker, self._epoch, task_ids)
+
+    def _disconnect(self) -> None:
+        self.is_connected = False
+        self._listener.worker_disconnected(self.worker.name)
+        placements = self._waiting
+        self._waiting = []
+        for placement in placements:
+            self._listener.task_not_started(placement)
+
+    async def _adopt(self) -> None:
+        inventory = await self._client.adopt(
+            self.worker,
+            self._epoch,
+            self._owner_name,
+        )
+        self._note_clock(inventory.clock_ms)
+        if self.boot_id and inventory.boot_id != self.boot_id:
+            self._forget_unlisted(frozenset())
+        self.boot_id = inventory.boot_id
+        self._sequence = inventory.sequence
+        self._reconcile(inventory)
+        self.is_connected = True
+        self._listener.worker_adopted(self.worker.name, inventory)
+
+    async def _serve(self) -> None:
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._follow_events())
+            group.create_task(self._send_starts())
+            group.create_task(self._renew_leases())
+
+    async def _follow_events(self) -> None:
+        while True:
+            events = await self._client.events(
+                self.worker,
+                self._sequence,
+                _EVENTS_TIMEOUT_S,
+            )
+            if events.boot_id != self.boot_id:
+                raise WorkerUnavailableError('the worker restarted; adopt it')
+            self._sequence = events.sequence
+            for task in events.tasks:
+                self._see(task)
+
+    async def _send_starts(self) -> None:
+        while True:
+            await self._wakeup.wait()
+            self._wakeup.clear()
+            batch = self._waiting
+            self._waiting = []
+            if batch:
+                await self._send_batch(batch)
+            if self._unsettled:
+                raise WorkerUnavailableError('a start is not settled; adopt')
+
+    async def _send_batch(self, batch: list[Placement]) -> None:
+        start_by_s = min(
+            self._deadline_s(),
+            self._clock.now_s() + _START_WINDOW_S,
+        )
+        start_by_ms = self._worker_clock_ms(start_by_s)
+        orders = [self._order(placement, start_by_ms) for placement in batch]
+        if self._clock.now_s() >= self._deadline_s():
+            for refused in batch:
+                self._listener.task_not_started(refused)
+            return
+        for placement in batch:
+            self._unsettled[placement.task_id] = (placement, start_by_ms)
+        self._extend_lease_end(start_by_s)
+        outcomes = await self._client.start(self.worker, orders)
+        for outcome in outcomes:
+            self._settle(outcome)
+
+    def _settle(self, outcome: StartResult) -> None:
+        placement, start_by_ms = self._unsettled.pop(outcome.task_id)
+        if outcome.outcome == StartOutcome.stale_epoch:
+            self._listener.task_not_started(placement)
+            raise StaleEpochError('another owner has this worker')
+        if outcome.outcome == StartOutcome.started:
+            self._running.add(outcome.task_id)
+            self._listener.task_seen(
+                self.worker.name,
+                _started_task(placement, self._epoch),
+            )
+        elif outcome.outcome == StartOutcome.known:
+            self._unsettled[outcome.task_id] = (placement, start_by_ms)
+        else:
+            self._listener.task_not_started(placement)
+
+    async def _renew_leases(self) -> None:
+        while True:
+            await asyncio.sleep(self._lease_s / _RENEWALS_PER_LEASE)
+            if self._clock.now_s() >= self._deadline_s():
+                continue
+            self._extend_lease_end(self._clock.now_s())
+            inventory = await self._client.renew(
+                self.worker,
+                self._epoch,
+                int(self._lease_s * _MS_PER_S),
+            )
+            self._note_clock(inventory.clock_ms)
+            self._reconcile(inventory)
+
+    def _reconcile(self, inventory: Inventory) -> None:
+        listed = frozenset(task.task_id for task in inventory.tasks)
+        self._settle_lost_answers(inventory, listed)
+        self._forget_unlisted(listed)
+        for task in inventory.tasks:
+            self._see(task)
+
+    def _settle_lost_answers(
+        self,
+        inventory: Inventory,
+        listed: frozenset[str],
+    ) -> None:
+        for task_id, (placement, start_by_ms) in tuple(
+            self._unsettled.items(),
+        ):
+            if task_id in listed:
+                self._unsettled.pop(task_id)
+            elif inventory.clock_ms > start_by_ms:
+                self._unsettled.pop(task_id)
+                self._listener.task_not_started(placement)
+        if self._unsettled:
+            self._wakeup.set()
+
+    def _forget_unlisted(self, listed: frozenset[str]) -> None:
+        for task_id in tuple(self._running - listed):
+            self._running.discard(task_id)
+            self._listener.task_lost(self.worker.name, task_id)
+
+    def _see(self, task: WorkerTask) -> None:
+        self._unsettled.pop(task.task_id, None)
+        if task.phase == TaskPhase.running:
+            self._running.add(task.task_id)
+        else:
+            self._running.discard(task.task_id)
+        self._listener.task_seen(self.worker.name, task)
+
+    def _expire_lost(self) -> None:
+        if self._clock.now_s() < self._lease_end_s + _LOSS_MARGIN_S:
+            return
+        self._forget_unlisted(frozenset())
+        for placement, _start_by_ms in tuple(self._unsettled.values()):
+            self._unsettled.pop(placement.task_id)
+            self._listener.task_lost(self.worker.name, placement.task_id)
+
+    def _extend_lease_end(self, from_s: float) -> None:
+        self._lease_end_s = max(self._lease_end_s, from_s + self._lease_s)
+
+    def _note_clock(self, clock_ms: int) -> None:
+        self._clock_base_ms = clock_ms
+        self._clock_read_s = self._clock.now_s()
+
+    def _worker_clock_ms(self, at_s: float) -> int:
+        ahead_ms = (at_s - self._clock_read_s) * _MS_PER_S
+        return self._clock_base_ms + int(ahead_ms)
+
+    def _order(self, placement: Placement, start_by_ms: int) -> StartOrder:
+        spec = placement.spec
+        return StartOrder(
+            task_id=placement.task_id,
+            epoch=self._epoch,
+            start_by_ms=start_by_ms,
+            resources=placement.resources,
+            lease_ms=int(self._lease_s * _MS_PER_S),
+            run_ms=int(spec.expected_run_s * _MS_PER_S),
+            spec_json=encode_json(spec).decode(),
+        )
+
+
+def _started_task(placement: Placement, epoch: int) -> WorkerTask:
+    return WorkerTask(
+        task_id=placement.task_id,
+        epoch=epoch,
+        phase=TaskPhase.running,
+        resources=placement.resources,
+    )
--- a/packages/currantreach-decisions/src/currantreach_decisions/_fleet.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_fleet.py
@@ -11,9 +11,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from currantreach_types import Resources, TaskSpec
-
     from currantreach_decisions._ledger import WorkerRoom
+    from currantreach_types import Resources, TaskSpec
 
 __all__ = ('Fleet',)
 
--- a/packages/currantreach-decisions/src/currantreach_decisions/_lanes.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_lanes.py
@@ -5,6 +5,7 @@
 import heapq
 
 import attrs
+
 from currantreach_types import TaskSpec
 
 __all__ = ('Bucket', 'Lane', 'Lanes', 'Waiting')
--- a/packages/currantreach-decisions/src/currantreach_decisions/_ledger.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_ledger.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
+
 from currantreach_types import Resources, TaskSpec, WorkerInfo
 
 if TYPE_CHECKING:
--- a/packages/currantreach-decisions/src/currantreach_decisions/_pool.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_pool.py
@@ -9,9 +9,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
-    from currantreach_types import Resources
-
     from currantreach_decisions._ledger import WorkerRoom
+    from currantreach_types import Resources
 
 __all__ = ('Pool',)
 
--- a/packages/currantreach-decisions/src/currantreach_decisions/_reserve.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_reserve.py
@@ -5,9 +5,8 @@
 import math
 from typing import TYPE_CHECKING
 
-from currantreach_types import Resources
-
 from currantreach_decisions._ledger import EMPTY
+from currantreach_types import Resources
 
 if TYPE_CHECKING:
     from currantreach_decisions._fleet import Fleet
--- a/packages/currantreach-decisions/src/currantreach_decisions/_review.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_review.py
@@ -9,8 +9,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from currantreach_types import Resources
-
     from currantreach_decisions._estimates import Sizing
     from currantreach_decisions._lanes import Lane, Lanes, Waiting
     from currantreach_decisions._ledger import Ledger
@@ -19,6 +17,7 @@
     from currantreach_decisions._reservation import Reservation
     from currantreach_decisions._server import Round
     from currantreach_decisions._shares import Shares
+    from currantreach_types import Resources
 
 __all__ = ('Review',)
 
--- a/packages/currantreach-decisions/tests/test_schedulers.py
+++ b/packages/currantreach-decisions/tests/test_schedulers.py
@@ -5,6 +5,7 @@
 import random
 
 import pytest
+
 from currantreach_decisions import (
     IndexedScheduler,
     NaiveScheduler,
--- a/packages/currantreach-links/src/currantreach_links/_frames.py
+++ b/packages/currantreach-links/src/currantreach_links/_frames.py
@@ -7,10 +7,10 @@
 from typing import TYPE_CHECKING, TypeVar
 
 import attrs
-from currantreach_types import decode_packed, encode_packed
-from currantreach_types.errors import ConfigurationError
 
 from currantreach_links._errors import WrongMacError
+from currantreach_types import decode_packed, encode_packed
+from currantreach_types.errors import ConfigurationError
 
 if TYPE_CHECKING:
     from typing import Final
--- a/packages/currantreach-links/src/currantreach_links/_link.py
+++ b/packages/currantreach-links/src/currantreach_links/_link.py
@@ -8,9 +8,6 @@
 import secrets
 from typing import TYPE_CHECKING, Final, TypeVar
 
-from currantreach_types import decode_packed, encode_packed
-from currantreach_types.errors import LinkError, MalformedMessageError
-
 from currantreach_links._connection import Connection
 from currantreach_links._errors import NotSentError, error_from
 from currantreach_links._frames import (
@@ -19,6 +16,8 @@
     Reply,
     Request,
 )
+from currantreach_types import decode_packed, encode_packed
+from currantreach_types.errors import LinkError, MalformedMessageError
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/packages/currantreach-links/src/currantreach_links/_server.py
+++ b/packages/currantreach-links/src/currantreach_links/_server.py
@@ -9,11 +9,6 @@
 from typing import TYPE_CHECKING, Final, Protocol
 
 import zmq
-from currantreach_types.errors import (
-    ConflictError,
-    CurrantreachError,
-    MalformedMessageError,
-)
 from zmq import asyncio as async_zmq
 
 from currantreach_links._errors import BUSY, WrongMacError, error_kind
@@ -23,6 +18,11 @@
     Reply,
     Request,
 )
+from currantreach_types.errors import (
+    ConflictError,
+    CurrantreachError,
+    MalformedMessageError,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Mapping
--- a/packages/currantreach-links/tests/test_links.py
+++ b/packages/currantreach-links/tests/test_links.py
@@ -6,11 +6,12 @@
 
 import pytest
 import zmq
+from zmq import asyncio as async_zmq
+
 from currantreach_links import NotSentError, PeerLink, PeerServer
 from currantreach_links._frames import FrameCodec, Reply, Request
 from currantreach_types import decode_packed, encode_packed
 from currantreach_types.errors import ConflictError, LinkError
-from zmq import asyncio as async_zmq
 
 SECRET = b'a secret that all daemons share'
 ANY_PORT = 'tcp://127.0.0.1:0'
--- a/packages/currantreach-platform/src/currantreach_platform/_http_hosts.py
+++ b/packages/currantreach-platform/src/currantreach_platform/_http_hosts.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import attrs
-from currantreach_types import HostState, Resources, WorkerInfo, decode_json
-from currantreach_types.errors import MalformedMessageError, PlatformError
 
 from currantreach_platform._channel import (
     Call,
@@ -13,6 +11,8 @@
     NotSentError,
 )
 from currantreach_platform._hosts import HostList
+from currantreach_types import HostState, Resources, WorkerInfo, decode_json
+from currantreach_types.errors import MalformedMessageError, PlatformError
 
 __all__ = ('HttpHostList',)
 
--- a/packages/currantreach-platform/src/currantreach_platform/_http_store.py
+++ b/packages/currantreach-platform/src/currantreach_platform/_http_store.py
@@ -7,14 +7,6 @@
 from typing import TYPE_CHECKING
 from urllib.parse import quote
 
-from currantreach_types import decode_json, decode_packed, encode_json
-from currantreach_types.errors import (
-    ConflictError,
-    LostAnswerError,
-    MalformedMessageError,
-    StoreUnavailableError,
-)
-
 from currantreach_platform._channel import (
     Call,
     Channel,
@@ -23,6 +15,13 @@
     Reply,
 )
 from currantreach_platform._store import KeyValue, Store, WatchResult
+from currantreach_types import decode_json, decode_packed, encode_json
+from currantreach_types.errors import (
+    ConflictError,
+    LostAnswerError,
+    MalformedMessageError,
+    StoreUnavailableError,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/packages/currantreach-platform/src/currantreach_platform/_http_workers.py
+++ b/packages/currantreach-platform/src/currantreach_platform/_http_workers.py
@@ -8,6 +8,14 @@
 from urllib.parse import quote
 
 import attrs
+
+from currantreach_platform._channel import (
+    Call,
+    Channel,
+    NoAnswerError,
+    NotSentError,
+)
+from currantreach_platform._workers import WorkerClient
 from currantreach_types import (
     Inventory,
     StartResult,
@@ -21,14 +29,6 @@
     WorkerUnavailableError,
 )
 
-from currantreach_platform._channel import (
-    Call,
-    Channel,
-    NoAnswerError,
-    NotSentError,
-)
-from currantreach_platform._workers import WorkerClient
-
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
--- a/packages/currantreach-platform/tests/conftest.py
+++ b/packages/currantreach-platform/tests/conftest.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 import pytest
+
 from currantreach_standins import start_app
 from currantreach_types import ManualClock
 
--- a/packages/currantreach-platform/tests/test_channel.py
+++ b/packages/currantreach-platform/tests/test_channel.py
@@ -5,6 +5,7 @@
 import asyncio
 
 import pytest
+
 from currantreach_platform import HttpStore
 from currantreach_types.errors import LostAnswerError, StoreUnavailableError
 
--- a/packages/currantreach-platform/tests/test_http_hosts.py
+++ b/packages/currantreach-platform/tests/test_http_hosts.py
@@ -4,6 +4,7 @@
 
 import attrs
 import pytest
+
 from currantreach_platform import HttpHostList
 from currantreach_standins import hosts_app
 from currantreach_types import HostState, Resources, WorkerInfo
--- a/packages/currantreach-platform/tests/test_http_store.py
+++ b/packages/currantreach-platform/tests/test_http_store.py
@@ -6,6 +6,7 @@
 import json
 
 import pytest
+
 from currantreach_platform import HttpStore, KeyValue
 from currantreach_standins import store_app
 from currantreach_types.errors import (
--- a/packages/currantreach-platform/tests/test_http_workers.py
+++ b/packages/currantreach-platform/tests/test_http_workers.py
@@ -8,6 +8,7 @@
 
 import attrs
 import pytest
+
 from currantreach_platform import HttpWorkerClient
 from currantreach_standins import (
     Fleet,
--- a/packages/currantreach-standins/src/currantreach_standins/_fleet.py
+++ b/packages/currantreach-standins/src/currantreach_standins/_fleet.py
@@ -8,17 +8,16 @@
 from typing import TYPE_CHECKING
 
 import attrs
-from currantreach_types import Resources
 
 from currantreach_standins._fleet_worker import FleetWorker
+from currantreach_types import Resources
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from currantreach_types import Clock
-
     from currantreach_standins._fleet_tasks import RunningTask
     from currantreach_standins._task_log import TaskLog
+    from currantreach_types import Clock
 
 __all__ = ('Fleet', 'FleetSettings', 'WorkerEntry')
 
--- a/packages/currantreach-standins/src/currantreach_standins/_fleet_tasks.py
+++ b/packages/currantreach-standins/src/currantreach_standins/_fleet_tasks.py
@@ -5,6 +5,7 @@
 import math
 
 import attrs
+
 from currantreach_types import (
     Resources,
     StartOrder,
--- a/packages/currantreach-standins/src/currantreach_standins/_fleet_worker.py
+++ b/packages/currantreach-standins/src/currantreach_standins/_fleet_worker.py
@@ -7,6 +7,9 @@
 from typing import TYPE_CHECKING
 
 import attrs
+
+from currantreach_standins._fleet_events import EventFeed
+from currantreach_standins._fleet_tasks import RunningTask
 from currantreach_types import (
     Inventory,
     Resources,
@@ -17,9 +20,6 @@
     WorkerEvents,
 )
 
-from currantreach_standins._fleet_events import EventFeed
-from currantreach_standins._fleet_tasks import RunningTask
-
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
--- a/packages/currantreach-standins/src/currantreach_standins/_hosts_app.py
+++ b/packages/currantreach-standins/src/currantreach_standins/_hosts_app.py
@@ -7,9 +7,9 @@
 
 import attrs
 from aiohttp import web
-from currantreach_types import HostState, Resources, WorkerInfo
 
 from currantreach_standins._replies import json_reply, read_json
+from currantreach_types import HostState, Resources, WorkerInfo
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/packages/currantreach-standins/src/currantreach_standins/_replies.py
+++ b/packages/currantreach-standins/src/currantreach_standins/_replies.py
@@ -6,6 +6,7 @@
 from typing import TypeVar
 
 from aiohttp import web
+
 from currantreach_types import decode_json, encode_json
 from currantreach_types.errors import MalformedMessageError
 
--- a/packages/currantreach-standins/src/currantreach_standins/_store_app.py
+++ b/packages/currantreach-standins/src/currantreach_standins/_store_app.py
@@ -11,8 +11,6 @@
 
 import attrs
 from aiohttp import web
-from currantreach_types import encode_packed
-from currantreach_types.errors import MalformedMessageError
 
 from currantreach_standins._replies import (
     drop_connection,
@@ -27,6 +25,8 @@
     RevisionError,
     StoreState,
 )
+from currantreach_types import encode_packed
+from currantreach_types.errors import MalformedMessageError
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
--- a/packages/currantreach-standins/src/currantreach_standins/_store_faults.py
+++ b/packages/currantreach-standins/src/currantreach_standins/_store_faults.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
+
 from currantreach_types import decode_json
 
 if TYPE_CHECKING:
--- a/packages/currantreach-standins/src/currantreach_standins/_workers_app.py
+++ b/packages/currantreach-standins/src/currantreach_standins/_workers_app.py
@@ -10,7 +10,6 @@
 
 import attrs
 from aiohttp import web
-from currantreach_types import StartOrder
 
 from currantreach_standins._fleet_worker import (
     FleetWorker,
@@ -23,6 +22,7 @@
     query_number,
     read_json,
 )
+from currantreach_types import StartOrder
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
--- a/packages/currantreach-standins/src/currantreach_standins/hosts.py
+++ b/packages/currantreach-standins/src/currantreach_standins/hosts.py
@@ -5,10 +5,9 @@
 import asyncio
 import pathlib
 
-from currantreach_types import MonotonicClock, WorkerInfo, decode_json
-
 from currantreach_standins._hosts_app import hosts_app
 from currantreach_standins._serving import argument_parser, run_app
+from currantreach_types import MonotonicClock, WorkerInfo, decode_json
 
 __all__ = ('main',)
 
--- a/packages/currantreach-standins/src/currantreach_standins/store.py
+++ b/packages/currantreach-standins/src/currantreach_standins/store.py
@@ -4,10 +4,9 @@
 
 import asyncio
 
-from currantreach_types import MonotonicClock
-
 from currantreach_standins._serving import argument_parser, run_app
 from currantreach_standins._store_app import store_app
+from currantreach_types import MonotonicClock
 
 __all__ = ('main',)
 
--- a/packages/currantreach-standins/src/currantreach_standins/workers.py
+++ b/packages/currantreach-standins/src/currantreach_standins/workers.py
@@ -6,12 +6,11 @@
 import pathlib
 from typing import TYPE_CHECKING
 
-from currantreach_types import MonotonicClock, decode_json
-
 from currantreach_standins._fleet import Fleet, FleetSettings, WorkerEntry
 from currantreach_standins._serving import argument_parser, run_app
 from currantreach_standins._task_log import TaskLog
 from currantreach_standins._workers_app import workers_app
+from currantreach_types import MonotonicClock, decode_json
 
 if TYPE_CHECKING:
     import argparse
--- a/packages/currantreach-standins/tests/test_store_state.py
+++ b/packages/currantreach-standins/tests/test_store_state.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import pytest
+from hypothesis import given, settings, strategies
+
 from currantreach_standins import _store_state
 from currantreach_types import ManualClock
-from hypothesis import given, settings, strategies
 
 _KEYS = strategies.sampled_from(('a/1', 'a/2', 'b/1'))
 _STEPS = strategies.lists(
--- a/packages/currantreach-state/src/currantreach_state/__init__.py
+++ b/packages/currantreach-state/src/currantreach_state/__init__.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from currantreach_state._allotments import Allotments
 from currantreach_state._claims import Claim, ClaimKeeper
+from currantreach_state._config_record import ConfigKeeper
+from currantreach_state._journal import Journal, JournalRecord, RecordKind
 from currantreach_state._promises import (
     Consent,
     PromiseBook,
@@ -13,12 +16,17 @@
 from currantreach_state._session import MemberRecord, Session, member_key
 
 __all__ = (
+    'Allotments',
     'Claim',
     'ClaimKeeper',
+    'ConfigKeeper',
     'Consent',
+    'Journal',
+    'JournalRecord',
     'MemberRecord',
     'PromiseBook',
     'PromiseRun',
+    'RecordKind',
     'Roster',
     'RosterMember',
     'RosterView',
--- a/packages/currantreach-state/src/currantreach_state/_claims.py
+++ b/packages/currantreach-state/src/currantreach_state/_claims.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 import attrs
+
+from currantreach_state._session import is_session_gone
 from currantreach_types import decode_json, encode_json
 from currantreach_types.errors import (
     ConflictError,
@@ -12,11 +14,8 @@
     PlatformError,
 )
 
-from currantreach_state._session import is_session_gone
-
 if TYPE_CHECKING:
     from currantreach_platform import Store
-
     from currantreach_state._session import Session
 
 __all__ = ('Claim', 'ClaimKeeper')
--- a/packages/currantreach-state/src/currantreach_state/_roster.py
+++ b/packages/currantreach-state/src/currantreach_state/_roster.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 import attrs
+
 from currantreach_types import decode_json, encode_json
 from currantreach_types.errors import ConflictError, LostAnswerError
 
--- a/packages/currantreach-state/src/currantreach_state/_session.py
+++ b/packages/currantreach-state/src/currantreach_state/_session.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Final
 
 import attrs
+
 from currantreach_types import decode_json, encode_json
 from currantreach_types.errors import (
     ConflictError,
--- a/packages/currantreach-state/tests/conftest.py
+++ b/packages/currantreach-state/tests/conftest.py
@@ -8,6 +8,7 @@
 import types
 
 import pytest
+
 from currantreach_platform import KeyValue, Store, WatchResult
 from currantreach_types import ManualClock
 from currantreach_types.errors import (
--- a/packages/currantreach-state/tests/test_promises.py
+++ b/packages/currantreach-state/tests/test_promises.py
@@ -2,16 +2,6 @@
 
 from __future__ import annotations
 
-from currantreach_state import (
-    ClaimKeeper,
-    PromiseBook,
-    PromiseRun,
-    Roster,
-    Session,
-    TakeoverRule,
-)
-from currantreach_types import ManualClock
-from currantreach_types.errors import PlatformError
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -23,6 +13,17 @@
     run_state_machine_as_test,
 )
 
+from currantreach_state import (
+    ClaimKeeper,
+    PromiseBook,
+    PromiseRun,
+    Roster,
+    Session,
+    TakeoverRule,
+)
+from currantreach_types import ManualClock
+from currantreach_types.errors import PlatformError
+
 DOMAIN = 'north-1'
 DAEMONS = ('a', 'b', 'c')
 LIMIT_S = 20
--- a/packages/currantreach-types/src/currantreach_types/__init__.py
+++ b/packages/currantreach-types/src/currantreach_types/__init__.py
@@ -6,6 +6,7 @@
 from currantreach_types._codec import (
     decode_json,
     decode_packed,
+    decode_strict_json,
     encode_json,
     encode_packed,
 )
@@ -53,6 +54,7 @@
     'WorkerTask',
     'decode_json',
     'decode_packed',
+    'decode_strict_json',
     'encode_json',
     'encode_packed',
     'new_request_id',
--- a/packages/currantreach-types/src/currantreach_types/_codec.py
+++ b/packages/currantreach-types/src/currantreach_types/_codec.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TypeVar
+from typing import Any, TypeVar, cast
 
+import attrs
 import msgspec
 
 from currantreach_types._errors import MalformedMessageError
@@ -11,6 +12,7 @@
 __all__ = (
     'decode_json',
     'decode_packed',
+    'decode_strict_json',
     'encode_json',
     'encode_packed',
 )
@@ -34,6 +36,21 @@
         raise MalformedMessageError(f'{exc}; correct this field') from exc
 
 
+def decode_strict_json(body: bytes, kind: type[_Decoded]) -> _Decoded:
+    """Decode a JSON object into ``kind`` and reject unknown fields.
+
+    :raises MalformedMessageError: if the body does not match ``kind``.
+    """
+    present = decode_json(body, dict[str, msgspec.Raw])
+    known = {field.name for field in attrs.fields(cast('Any', kind))}
+    unknown = sorted(present.keys() - known)
+    if unknown:
+        raise MalformedMessageError(
+            f'unknown fields {unknown}; remove or correct them',
+        )
+    return decode_json(body, kind)
+
+
 def encode_packed(message: object) -> bytes:
     """Encode a message as MessagePack."""
     return msgspec.msgpack.encode(message)
--- a/packages/currantreach-types/src/currantreach_types/_refusals.py
+++ b/packages/currantreach-types/src/currantreach_types/_refusals.py
@@ -35,6 +35,12 @@
 )
 BODY_TOO_LARGE = Refusal('body_too_large', 'send a body within the limit')
 CANCELLED = Refusal('cancelled', 'submit again if the work is still wanted')
+CONNECTION_LIMIT = Refusal(
+    'connection_limit',
+    'retry over fewer connections or at another entry host',
+    can_retry=True,
+    retry_after_s=1,
+)
 CONFIGURATION_STALE = Refusal(
     'configuration_stale',
     'wait until this failure domain reaches the store or its peers again',
@@ -135,6 +141,7 @@
     BODY_TOO_LARGE,
     CANCELLED,
     CONFIGURATION_STALE,
+    CONNECTION_LIMIT,
     DEADLINE_UNREACHABLE,
     ID_EPOCH_PASSED,
     ID_REUSED,
--- a/packages/currantreach-types/tests/test_request_ids.py
+++ b/packages/currantreach-types/tests/test_request_ids.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+
 from currantreach_types import RequestId, new_request_id
 from currantreach_types.errors import MalformedMessageError
 
--- /dev/null
+++ b/testbed/__init__.py
@@ -0,0 +1,19 @@
+"""Real processes on this machine for the demo, the proofs and the benches."""
+
+from __future__ import annotations
+
+from testbed._caller import Caller, Sent
+from testbed._cell import Cell, CellPlan
+from testbed._checker import Findings, check_logs
+from testbed._process import Process, free_ports
+
+__all__ = (
+    'Caller',
+    'Cell',
+    'CellPlan',
+    'Findings',
+    'Process',
+    'Sent',
+    'check_logs',
+    'free_ports',
+)
--- /dev/null
+++ b/testbed/_caller.py
@@ -0,0 +1,159 @@
+"""Caller that records what it sent and what it was told."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+__all__ = ('Caller', 'Sent')
+
+_CALL_TIMEOUT_S = 6
+_BACK_OFF_S = 0.1
+_FINAL = frozenset(('finished', 'failed', 'not_run'))
+
+
+@attrs.define(slots=True, kw_only=True)
+class Sent:
+    """A request and everything that its caller was told.
+
+    :ivar is_durable: whether an accepted request must not be lost.
+    :ivar request_id: id of the request, empty until one was issued.
+    :ivar states: states in the order in which they were told.
+    :ivar answer: last answer.
+    :ivar waited_s: time from the first call to the final answer.
+    """
+
+    team: str
+    workload: str
+    body: dict[str, Any]
+    is_durable: bool = False
+    request_id: str = ''
+    states: list[str] = attrs.field(factory=list)
+    answer: dict[str, Any] = attrs.field(factory=dict)
+    waited_s: float = 0
+
+    @property
+    def state(self) -> str:
+        """Return the last state told, empty if there was none."""
+        return self.states[-1] if self.states else ''
+
+
+class Caller:
+    """Sends requests to daemons and asks for the answers."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        urls: Sequence[str],
+        keys: Mapping[str, str],
+        seed: int,
+    ) -> None:
+        """Choose daemons at random from ``urls``."""
+        self.sent: list[Sent] = []
+        self._session = session
+        self._urls = list(urls)
+        self._keys = keys
+        self._random = random.Random(seed)
+
+    async def run(
+        self,
+        team: str,
+        body: dict[str, Any],
+        patience_s: float,
+        *,
+        is_durable: bool,
+    ) -> Sent:
+        """Submit a request and ask until it has a final answer."""
+        sent = Sent(
+            team=team,
+            workload=body['workload'],
+            body={'team': team, **body},
+            is_durable=is_durable,
+        )
+        self.sent.append(sent)
+        began_s = time.monotonic()
+        try:
+            async with asyncio.timeout(patience_s):
+                await self._submit(sent)
+                await self._await_answer(sent)
+        except TimeoutError:
+            return sent
+        finally:
+            sent.waited_s = time.monotonic() - began_s
+        return sent
+
+    async def _submit(self, sent: Sent) -> None:
+        while not sent.request_id:
+            issued = await self._call(
+                sent,
+                'POST',
+                '/v1/request-ids',
+                {
+                    'queue': sent.body['queue'],
+                    'resources': sent.body['resources'],
+                },
+            )
+            sent.request_id = issued.get('request_id', '')
+        attempt = 0
+        while sent.state not in {'accepted', 'running', *_FINAL}:
+            attempt += 1
+            answer = await self._call(
+                sent,
+                'POST',
+                '/v1/requests',
+                {
+                    **sent.body,
+                    'request_id': sent.request_id,
+                    'attempt': attempt,
+                },
+            )
+            self._note(sent, answer)
+            if sent.state == 'unknown' and not answer.get('can_retry'):
+                return
+
+    async def _await_answer(self, sent: Sent) -> None:
+        path = f'/v1/requests/{sent.request_id}/answer?timeout_ms=4000'
+        while sent.state not in _FINAL:
+            answer = await self._call(sent, 'GET', path, None)
+            self._note(sent, answer)
+            is_final = answer.get('state') == 'unknown'
+            if is_final and not answer.get('can_retry'):
+                return
+
+    def _note(self, sent: Sent, answer: dict[str, Any]) -> None:
+        if not answer:
+            return
+        sent.answer = answer
+        sent.states.append(answer['state'])
+
+    async def _call(
+        self,
+        sent: Sent,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None,
+    ) -> dict[str, Any]:
+        url = self._random.choice(self._urls)
+        headers = {}
+        if sent.team in self._keys and sent.body.get('team'):
+            headers['Authorization'] = f'Bearer {self._keys[sent.team]}'
+        try:
+            async with self._session.request(
+                method,
+                url + path,
+                json=body,
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(total=_CALL_TIMEOUT_S),
+            ) as response:
+                return await response.json()
+        except (aiohttp.ClientError, TimeoutError, ValueError):
+            await asyncio.sleep(_BACK_OFF_S * (1 + self._random.random()))
+            return {}
