Show workers, teams and limits of all failure domains

Cause: worker list and team list showed only the partitions of the daemon that was asked, and status only its own team limits. Change: daemons ask each other for the state of their partitions, and heartbeats carry the revision whose limits are in force.

--- a/packages/currantreach-daemon/src/currantreach_daemon/_admin.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_admin.py
@@ -44,12 +44,12 @@
         _request: web.Request,
         _author: str,
     ) -> web.Response:
-        """List the workers of the partitions that this daemon owns."""
-        return json_response({'workers': self._overview.workers()})
+        """List the workers of all reachable failure domains."""
+        return json_response({'workers': await self._overview.workers()})
 
     async def teams(self, _request: web.Request, _author: str) -> web.Response:
         """List teams with shares, limits, allotments and usage."""
-        return json_response({'teams': self._overview.teams()})
+        return json_response({'teams': await self._overview.teams()})
 
     async def tasks(self, _request: web.Request, _author: str) -> web.Response:
         """List the requests of all teams."""
--- a/packages/currantreach-daemon/src/currantreach_daemon/_app.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_app.py
@@ -102,6 +102,13 @@
             read_config=self._read_config,
             deadline_s=self._membership.deadline_s,
         )
+        overview = Overview(
+            settings,
+            self._keeper,
+            self._peers,
+            owners,
+            self._heartbeat,
+        )
         self._membership.peers = self._peers
         self._membership.make_owner = self._make_owner
         self._server = PeerServer(
@@ -112,6 +119,7 @@
                 self._peers,
                 self._keeper,
                 self._heartbeat,
+                overview,
             ).handlers(),
         )
         self._http = HttpServer(
@@ -123,13 +131,7 @@
                 self._peers,
                 self._metrics,
             ),
-            Overview(
-                settings,
-                self._keeper,
-                self._peers,
-                owners,
-                self._heartbeat,
-            ),
+            overview,
             self._metrics,
         )
         register_gauges(
@@ -216,6 +218,12 @@
             has_store=self._membership.has_store,
             is_leaving=self._membership.is_leaving,
             owned=tuple(owner.load() for owner in owners),
+            limits={
+                f'{owner.claim.domain}.{owner.claim.partition}': (
+                    owner.limits_revision()
+                )
+                for owner in owners
+            },
         )
 
     def _make_owner(self, claim: Claim, has_full_consent: bool) -> Owner:
--- a/packages/currantreach-daemon/src/currantreach_daemon/_messages.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_messages.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from currantreach_types import Answer, Resources, TaskSpec
+from currantreach_types import Answer, HostState, Resources, TaskSpec
 
 __all__ = (
     'CancelMessage',
@@ -17,11 +17,14 @@
     'ListMessage',
     'ListReply',
     'OwnedPartition',
+    'PartitionsMessage',
+    'PartitionsReply',
     'PromiseMessage',
     'PromiseReply',
     'SubmitMessage',
     'TextReply',
     'WaitMessage',
+    'WorkerView',
 )
 
 
@@ -50,6 +53,8 @@
     :ivar config_age_s: seconds since the revision was proved the newest.
     :ivar has_store: whether the store answered lately.
     :ivar is_leaving: whether the daemon is shutting down.
+    :ivar limits: revision whose team limits are in force, for each partition
+        that the daemon owns.
     """
 
     daemon_id: str
@@ -60,7 +65,7 @@
     has_store: bool
     is_leaving: bool
     owned: tuple[OwnedPartition, ...] = ()
-    lowered: dict[str, int] = attrs.field(factory=dict)
+    limits: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -173,6 +178,36 @@
     revision: int
 
 
+@attrs.frozen(slots=True, kw_only=True)
+class WorkerView:
+    """A worker as its owner sees it."""
+
+    name: str
+    failure_domain: str
+    rack: str
+    state: HostState
+    is_connected: bool
+    is_open: bool
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class PartitionsMessage:
+    """Question for the partitions that a daemon owns."""
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class PartitionsReply:
+    """State of the partitions that a daemon owns.
+
+    :ivar usage: room taken by each team.
+    :ivar granted: allotment of each team.
+    """
+
+    workers: tuple[WorkerView, ...]
+    usage: dict[str, Resources]
+    granted: dict[str, Resources]
+
+
 @attrs.frozen(slots=True, kw_only=True)
 class TextReply:
     """Encoded record or text; empty if there is none."""
--- a/packages/currantreach-daemon/src/currantreach_daemon/_overview.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_overview.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, Any
 
 import msgspec
 
+from currantreach_daemon._messages import (
+    PartitionsMessage,
+    PartitionsReply,
+    WorkerView,
+)
 from currantreach_types import Resources
+from currantreach_types.errors import LinkError
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -14,11 +21,13 @@
     from currantreach_config import DaemonSettings
     from currantreach_daemon._messages import Heartbeat
     from currantreach_daemon._owner import Owner
-    from currantreach_daemon._peers import PeerTable
+    from currantreach_daemon._peers import Peer, PeerTable
     from currantreach_state import ConfigKeeper
 
 __all__ = ('Overview',)
 
+_CALL_TIMEOUT_S = 2
+
 
 class Overview:
     """Collects the state of this daemon and of its peers."""
@@ -71,48 +80,68 @@
             'limits_in_force': self._limits_in_force(),
         }
 
-    def workers(self) -> list[dict[str, Any]]:
-        """Return the workers of the partitions that this daemon owns."""
-        return [
-            {
-                'name': host.name,
-                'failure_domain': host.failure_domain,
-                'rack': host.rack,
-                'state': host.state,
-                'is_connected': owner.workers.is_connected(host.name),
-                'is_open': owner.workers.is_open(host.name),
-            }
-            for owner in self._owners.values()
-            for host in owner.workers.hosts.values()
-        ]
+    def partitions(self) -> PartitionsReply:
+        """Return the state of the partitions that this daemon owns."""
+        usage: dict[str, Resources] = {}
+        granted: dict[str, Resources] = {}
+        for owner in self._owners.values():
+            _add(usage, owner.usage())
+            _add(granted, owner.allotments())
+        return PartitionsReply(
+            workers=self._workers(),
+            usage=usage,
+            granted=granted,
+        )
+
+    async def workers(self) -> list[WorkerView]:
+        """Return the workers of all reachable failure domains."""
+        parts = await self._all_partitions()
+        return [worker for part in parts for worker in part.workers]
 
-    def teams(self) -> list[dict[str, Any]]:
-        """Return the teams with what they use in the owned partitions."""
+    async def teams(self) -> list[dict[str, Any]]:
+        """Return the teams with what they use in all reachable domains."""
         record = self._keeper.record
         if record is None:
             return []
         usage: dict[str, Resources] = {}
         granted: dict[str, Resources] = {}
-        for owner in self._owners.values():
-            for name, used in owner.usage().items():
-                usage[name] = usage.get(name, Resources()) + used
-            for team, allotment in owner.allotments().items():
-                granted[team] = granted.get(team, Resources()) + allotment
+        for part in await self._all_partitions():
+            _add(usage, part.usage)
+            _add(granted, part.granted)
         return [
             {
                 'name': team.name,
                 'share': team.share,
-                'upper_limit': msgspec.to_builtins(team.upper_limit),
-                'allotment': msgspec.to_builtins(
-                    granted.get(team.name, Resources()),
-                ),
-                'usage': msgspec.to_builtins(
-                    usage.get(team.name, Resources()),
-                ),
+                'upper_limit': team.upper_limit,
+                'allotment': granted.get(team.name, Resources()),
+                'usage': usage.get(team.name, Resources()),
             }
             for team in record.cell.teams
         ]
 
+    def _workers(self) -> tuple[WorkerView, ...]:
+        return tuple(
+            WorkerView(
+                name=host.name,
+                failure_domain=host.failure_domain,
+                rack=host.rack,
+                state=host.state,
+                is_connected=owner.workers.is_connected(host.name),
+                is_open=owner.workers.is_open(host.name),
+            )
+            for owner in self._owners.values()
+            for host in owner.workers.hosts.values()
+        )
+
+    async def _all_partitions(self) -> list[PartitionsReply]:
+        replies = await asyncio.gather(
+            *(_ask_partitions(peer) for peer in self._peers.reachable()),
+        )
+        return [
+            self.partitions(),
+            *(reply for reply in replies if reply is not None),
+        ]
+
     def _heartbeats(self) -> list[Heartbeat]:
         beats = [self._own_heartbeat()]
         beats.extend(
@@ -123,7 +152,27 @@
         return beats
 
     def _limits_in_force(self) -> dict[str, int]:
-        return {
-            f'{owner.claim.domain}.{partition}': owner.limits_revision()
-            for partition, owner in self._owners.items()
-        }
+        limits: dict[str, int] = {}
+        for beat in self._heartbeats():
+            limits.update(beat.limits)
+        return limits
+
+
+async def _ask_partitions(peer: Peer) -> PartitionsReply | None:
+    try:
+        return await peer.link.call(
+            'partitions',
+            PartitionsMessage(),
+            PartitionsReply,
+            _CALL_TIMEOUT_S,
+        )
+    except LinkError:
+        return None
+
+
+def _add(
+    totals: dict[str, Resources],
+    parts: Mapping[str, Resources],
+) -> None:
+    for team, amount in parts.items():
+        totals[team] = totals.get(team, Resources()) + amount
--- a/packages/currantreach-daemon/src/currantreach_daemon/_peer_api.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_peer_api.py
@@ -14,6 +14,8 @@
     IdReply,
     ListMessage,
     ListReply,
+    PartitionsMessage,
+    PartitionsReply,
     PromiseMessage,
     SubmitMessage,
     TextReply,
@@ -34,6 +36,7 @@
     from collections.abc import Awaitable, Callable, Mapping
 
     from currantreach_daemon._membership import Membership
+    from currantreach_daemon._overview import Overview
     from currantreach_daemon._owner import Owner
     from currantreach_daemon._peers import PeerTable
     from currantreach_links import Handler
@@ -53,12 +56,14 @@
         peers: PeerTable,
         keeper: ConfigKeeper,
         own_heartbeat: Callable[[], Heartbeat],
+        overview: Overview,
     ) -> None:
         """Serve one daemon."""
         self._membership = membership
         self._peers = peers
         self._keeper = keeper
         self._own_heartbeat = own_heartbeat
+        self._overview = overview
 
     def handlers(self) -> Mapping[str, Handler]:
         """Return the handlers by the names of their methods."""
@@ -70,6 +75,7 @@
             'cancel': _answering(CancelMessage, self._cancel),
             'list': _answering(ListMessage, self._list),
             'explain': _answering(WaitMessage, self._explain),
+            'partitions': _answering(PartitionsMessage, self._partitions),
             'promise': _answering(PromiseMessage, self._promise),
             'consent': _answering(ConsentMessage, self._consent),
             'fetch_config': _answering(ConfigMessage, self._fetch_config),
@@ -123,6 +129,12 @@
             return TextReply(text='')
         return TextReply(text=owner.explain(message.request_id))
 
+    async def _partitions(
+        self,
+        _message: PartitionsMessage,
+    ) -> PartitionsReply:
+        return self._overview.partitions()
+
     async def _promise(self, message: PromiseMessage) -> object:
         return self._membership.promise(message)
 
