Index free capacity and serve queues by policy

Cause: the first IndexedScheduler decided like the naive one. Change: a tree of largest free amounts and a list by free processor time replace the scan; lanes by rank and team, shares, a prompt reserve, one reservation with backfill, preemption, learned sizes and quarantine decide what starts.

--- a/packages/currantreach-decisions/src/currantreach_decisions/_ledger.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_ledger.py
@@ -61,6 +61,8 @@
 
     :ivar room: room taken, at least what is declared or observed.
     :ivar started_s: time of the placement.
+    :ivar is_leaving: whether it was told to checkpoint.
+    :ivar observed: largest use that was reported.
     """
 
     task_id: str
@@ -69,16 +71,22 @@
     room: Resources
     started_s: float
     is_leaving: bool = False
+    observed: Resources = EMPTY
 
 
 @attrs.define(slots=True, kw_only=True, eq=False)
 class WorkerRoom:
-    """A worker and its free room, which may be negative."""
+    """A worker and its free room, which may be negative.
+
+    :ivar is_open: whether it receives new tasks.
+    :ivar is_admitted: whether the owner lets it receive new tasks.
+    """
 
     host: WorkerInfo
     free: Resources
     is_open: bool
     labels: dict[str, str]
+    is_admitted: bool = True
 
     def matches(self, constraints: Mapping[str, str]) -> bool:
         """Tell whether the worker has all labels of ``constraints``."""
@@ -146,6 +154,7 @@
             host=worker,
             free=free,
             is_open=is_open,
+            is_admitted=is_open,
             labels=labels,
         )
         self.workers[worker.name] = room
@@ -214,6 +223,16 @@
                 return True
         return False
 
+    def can_hold(self, size: Resources, spec: TaskSpec) -> bool:
+        """Tell whether an empty worker holds a size, within the allotment."""
+        account = self.team(spec.team)
+        if not is_within(size.times(spec.gang_size), account.allotment):
+            return False
+        return any(
+            size.fits_in(capacity)
+            for capacity in self._capacities(spec.constraints)
+        )
+
     def _capacities(
         self,
         constraints: Mapping[str, str],
--- a/packages/currantreach-decisions/src/currantreach_decisions/_queued.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_queued.py
@@ -5,8 +5,7 @@
 import abc
 from typing import TYPE_CHECKING
 
-import attrs
-from currantreach_types import Refusal, Resources, TaskSpec, task_id
+from currantreach_types import task_id
 from currantreach_types.refusals import (
     DEADLINE_UNREACHABLE,
     NEVER_FITS,
@@ -14,38 +13,23 @@
     TEAM_UNKNOWN,
 )
 
-from currantreach_decisions._ledger import Ledger, PlacedTask
-from currantreach_decisions._scheduler import Placement, Scheduler, TaskEnd
+from currantreach_decisions._lanes import Waiting
+from currantreach_decisions._ledger import Ledger
+from currantreach_decisions._scheduler import Placement, Scheduler
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
-    from currantreach_types import WorkerInfo
+    from currantreach_types import Refusal, Resources, TaskSpec, WorkerInfo
 
-    from currantreach_decisions._scheduler import TeamTerms
+    from currantreach_decisions._ledger import PlacedTask
+    from currantreach_decisions._scheduler import TaskEnd, TeamTerms
 
-__all__ = ('QueuedScheduler', 'Waiting')
+__all__ = ('QueuedScheduler',)
 
 _DEFAULT_QUEUE_LIMIT = 10000
 
 
-@attrs.define(slots=True, eq=False)
-class Waiting:
-    """A waiting request.
-
-    :ivar submitted_s: time of the submission.
-    :ivar sequence: number of the submission.
-    :ivar start_by_s: latest start, if any.
-    :ivar is_gone: whether it left the queue; the queues drop it later.
-    """
-
-    spec: TaskSpec
-    submitted_s: float
-    sequence: int
-    start_by_s: float | None
-    is_gone: bool = False
-
-
 class QueuedScheduler(Scheduler):
     """Scheduler without the choice of what starts where."""
 
