Add the replay and scaling benches

Cause: no rule of the decisions was measured. Change: python -m bench replays seeded arrivals of both deployments against both schedulers, or times rounds against the fleet size.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Replays of seeded workloads against the schedulers."""
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,102 @@
+"""Replay both schedulers side by side: ``python -m bench``."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import pathlib
+import sys
+import time
+
+from currantreach_decisions import IndexedScheduler, NaiveScheduler
+
+from bench.replay import Replay
+from bench.report import Sampler, figures, lost_deadlines
+from bench.scaling import scaling
+from bench.workload import DEPLOYMENTS, arrivals
+
+SCHEDULERS = {'naive': NaiveScheduler, 'indexed': IndexedScheduler}
+_LOADS = (0.5, 0.95, 1.5)
+
+
+def main() -> None:
+    """Run the replays that the options ask for and print their figures."""
+    options = _options()
+    print('command: python -m bench', *sys.argv[1:])
+    document: dict[str, object] = {
+        'command': ' '.join(['python -m bench', *sys.argv[1:]]),
+        'seed': options.seed,
+    }
+    if options.scaling:
+        document['scaling'] = scaling(options.seed)
+    else:
+        document['replays'] = _replays(options)
+    if options.json:
+        text = json.dumps(document, indent=1)
+        pathlib.Path(options.json).write_text(f'{text}\n', encoding='utf-8')
+
+
+def _options() -> argparse.Namespace:
+    """Read the command line."""
+    parser = argparse.ArgumentParser(prog='python -m bench')
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--json', help='file for the figures')
+    parser.add_argument('--scaling', action='store_true')
+    parser.add_argument('--load', type=float, action='append')
+    parser.add_argument('--deployment', choices=DEPLOYMENTS, action='append')
+    parser.add_argument('--scheduler', choices=SCHEDULERS, action='append')
+    return parser.parse_args()
+
+
+def _replays(options: argparse.Namespace) -> list[dict[str, object]]:
+    """Replay each deployment at each load."""
+    return [
+        _side_by_side(name, load, options)
+        for name in options.deployment or DEPLOYMENTS
+        for load in options.load or _LOADS
+    ]
+
+
+def _side_by_side(
+    name: str,
+    load: float,
+    options: argparse.Namespace,
+) -> dict[str, object]:
+    """Replay one deployment at one load with each scheduler."""
+    deployment = DEPLOYMENTS[name]
+    events = arrivals(deployment, load, options.seed)
+    print(f'\n{name} at load {load}, seed {options.seed}, {len(events)} requests')
+    outcome: dict[str, object] = {'deployment': name, 'load': load}
+    replays = {}
+    for scheduler in options.scheduler or SCHEDULERS:
+        sampler = Sampler(deployment)
+        replay = Replay(SCHEDULERS[scheduler](), deployment, events, sampler)
+        start_s = time.perf_counter()
+        replay.run()
+        replays[scheduler] = replay
+        found = figures(replay, sampler)
+        found['replay_s'] = round(time.perf_counter() - start_s, 1)
+        outcome[scheduler] = found
+        _print(scheduler, found)
+    if len(replays) == len(SCHEDULERS):
+        lost = lost_deadlines(replays['indexed'], replays['naive'])
+        outcome['deadlines_only_naive_met'] = lost
+        print(f'  deadlines that only naive met: {lost}')
+    return outcome
+
+
+def _print(scheduler: str, found: dict[str, object]) -> None:
+    """Print the figures of one replay."""
+    print(f'  {scheduler}')
+    classes = dict(found.pop('classes'))
+    urgent = found.pop('urgent')
+    for name, waits in (*classes.items(), ('urgent', urgent)):
+        row = ' '.join(f'{key}={amount}' for key, amount in waits.items())
+        print(f'    {name:22} {row}')
+    for key, amount in found.items():
+        print(f'    {key:22} {amount}')
+    found.update(classes=classes, urgent=urgent)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bench/workload.py
@@ -0,0 +1,327 @@
+"""Seeded arrivals of two deployments."""
+
+from __future__ import annotations
+
+import itertools
+import math
+import random
+
+import attrs
+from currantreach_decisions import TeamTerms
+from currantreach_types import PolicyKind, Resources, TaskSpec, WorkerInfo
+
+GIB = 1024
+LENGTH_S = 600
+TEAMS = (
+    # name, weight of its demand, share, part of the fleet it may use
+    ('north', 0.34, 30, 0.6),
+    ('south', 0.26, 25, 0.6),
+    ('mill', 0.15, 15, 0.5),
+    ('yard', 0.1, 10, 0.4),
+    ('night', 0.1, 10, 0.4),
+    ('spare', 0.05, 10, 0.4),
+)
+_SIZE_SPREAD = 0.25
+_LEAST_FACTOR = 0.3
+_LARGEST_FACTOR = 4
+_ONE_BAD_IN = 50
+_ONE_URGENT_IN = 100
+_ONE_CANCELLED_IN = 4
+_SAMPLE_COUNT = 3000
+_BAD_FACTOR = 64
+_KIND_CLIP = 8
+
+
+@attrs.frozen(slots=True)
+class Kind:
+    """A workload of a deployment.
+
+    :ivar work_part: part of the load that it makes up.
+    :ivar run_s: median run time.
+    :ivar run_spread: sigma of the logarithm of the run time.
+    """
+
+    name: str
+    policy: PolicyKind
+    work_part: float
+    cpu_milli: int
+    memory_mib: int
+    run_s: float
+    run_spread: float
+    deadline_s: float | None = None
+    gang_size: int = 1
+    accelerator_part: float = 0
+    is_unrepeatable: bool = False
+    burst_at_s: float = LENGTH_S
+    burst_length_s: float = 0
+    burst_factor: float = 1
+
+
+@attrs.frozen(slots=True)
+class Deployment:
+    """Workers and workloads of a user."""
+
+    name: str
+    worker_count: int
+    capacity: Resources
+    accelerator_count: int
+    rack_size: int
+    kinds: tuple[Kind, ...]
+
+    def workers(self) -> list[WorkerInfo]:
+        """Return the workers; the first of each rack has accelerators."""
+        workers = []
+        for index in range(self.worker_count):
+            rack, place = divmod(index, self.rack_size)
+            extra = Resources()
+            if not place:
+                extra = Resources(accelerator_count=self.accelerator_count)
+            worker = WorkerInfo(
+                name=f'worker-{index}',
+                failure_domain='north-1',
+                rack=f'rack-{rack}',
+                url='',
+                capacity=self.capacity + extra,
+            )
+            workers.append(worker)
+        return workers
+
+    def total(self) -> Resources:
+        """Return the capacity of all workers."""
+        return sum((each.capacity for each in self.workers()), Resources())
+
+    def terms(self) -> dict[str, TeamTerms]:
+        """Return share and allotment of each team."""
+        return {
+            name: TeamTerms(share=share, allotment=scale(self.total(), part))
+            for name, _, share, part in TEAMS
+        }
+
+
+@attrs.frozen(slots=True)
+class Arrival:
+    """A request and what is true of it.
+
+    :ivar used: room that each task really takes.
+    :ivar is_bad: whether it fails wherever it runs.
+    :ivar is_cancelled: whether the next wave cancels it.
+    """
+
+    at_s: float
+    spec: TaskSpec
+    used: Resources
+    run_s: float
+    is_bad: bool
+    is_cancelled: bool
+
+
+_AGENCY = (
+    Kind(
+        *('tine-profile-scan', PolicyKind.batch, 0.42, 7000, 26 * GIB, 25, 1),
+    ),
+    Kind(
+        *('feed-flow-check', PolicyKind.batch, 0.2, 4000, 12 * GIB, 10, 0.8),
+        *(120, 1, 0, False, 350, 10, 10),
+    ),
+    Kind(
+        *('tip-smoothing-preview', PolicyKind.prompt, 0.15, 2000, 4 * GIB),
+        *(0.5, 0.6, 2, 1, 0, True, 200, 30, 2),
+    ),
+    Kind(
+        *('scan-gang', PolicyKind.gang, 0.15, 8000, 24 * GIB, 40, 0.6),
+        *(None, 8, 0.1),
+    ),
+    Kind(*('feed-service', PolicyKind.service, 0.08, 2000, 8 * GIB, 900, 0)),
+)
+_PRUNELLE = (
+    Kind(*('pass-plan', PolicyKind.batch, 0.35, 1800, 3 * GIB, 25, 1)),
+    Kind(
+        *('row-recompute', PolicyKind.batch, 0.2, 1000, 2 * GIB, 8, 0.8),
+        *(120, 1, 0, False, 350, 10, 10),
+    ),
+    Kind(
+        *('crew-lookup', PolicyKind.prompt, 0.15, 500, 512, 0.3, 0.6),
+        *(1, 1, 0, True, 200, 30, 4),
+    ),
+    Kind(
+        *('pass-plan-gang', PolicyKind.gang, 0.22, 2000, 3 * GIB, 40, 0.6),
+        *(None, 8, 0.1),
+    ),
+    Kind(*('row-service', PolicyKind.service, 0.08, 500, 1 * GIB, 900, 0)),
+)
+DEPLOYMENTS = {
+    'agency': Deployment(
+        *('agency', 24, Resources(8, 64000, 256 * GIB, 0, 64), 4, 8, _AGENCY),
+    ),
+    'prunelle': Deployment(
+        *('prunelle', 24, Resources(8, 16000, 32 * GIB, 0, 64)),
+        *(4, 6, _PRUNELLE),
+    ),
+}
+
+
+def arrivals(deployment: Deployment, load: float, seed: int) -> list[Arrival]:
+    """Return the arrivals of a replay in order.
+
+    The load counts the larger of the declared and the true size, in the
+    resource that runs out first.
+    """
+    rng = random.Random(seed)
+    rate = load * _rate_at_full_load(deployment)
+    found: list[Arrival] = []
+    for kind in deployment.kinds:
+        for at_s in _times(rng, kind, rate * kind.work_part / _weight(kind)):
+            found.append(_arrival(rng, deployment, kind, at_s))
+    found.sort(key=lambda arrival: arrival.at_s)
+    return [
+        attrs.evolve(
+            arrival,
+            spec=attrs.evolve(
+                arrival.spec,
+                request_id=f'north-1.0.1.{index}',
+            ),
+        )
+        for index, arrival in enumerate(found)
+    ]
+
+
+def scale(size: Resources, factor: float) -> Resources:
+    """Return a size multiplied by a factor, but for slots of single tasks."""
+    return Resources(
+        max(1, round(size.slot_count * factor)),
+        round(size.cpu_milli * factor),
+        round(size.memory_mib * factor),
+        math.ceil(size.accelerator_count * factor),
+        round(size.connection_count * factor),
+    )
+
+
+def _weight(kind: Kind) -> float:
+    """Return roughly how much work one request of a kind is."""
+    mean_run_s = kind.run_s * math.exp(kind.run_spread**2 / 2)
+    if kind.policy is PolicyKind.service:
+        mean_run_s = LENGTH_S
+    return mean_run_s * kind.gang_size * kind.cpu_milli
+
+
+def _rate_at_full_load(deployment: Deployment) -> float:
+    """Return the arrival rate at which the first resource is full."""
+    rng = random.Random(0)
+    needed = [0, 0, 0]
+    for kind in deployment.kinds:
+        part = kind.work_part / _weight(kind) / _SAMPLE_COUNT
+        for _ in range(_SAMPLE_COUNT):
+            sample = _arrival(rng, deployment, kind, 0)
+            room = sample.used.at_least(sample.spec.resources)
+            amount = sample.run_s * kind.gang_size * part
+            needed[0] += amount * room.slot_count
+            needed[1] += amount * room.cpu_milli
+            needed[2] += amount * room.memory_mib
+    total = deployment.total()
+    return min(
+        total.slot_count / needed[0],
+        total.cpu_milli / needed[1],
+        total.memory_mib / needed[2],
+    )
+
+
+def _times(rng: random.Random, kind: Kind, rate: float) -> list[float]:
+    """Return the times of the arrivals of a kind."""
+    if kind.policy is PolicyKind.service:
+        return [rng.uniform(1, 9) for _ in range(round(rate * LENGTH_S))]
+    times = []
+    now_s: float = 0
+    while now_s < LENGTH_S:
+        times.append(now_s)
+        in_burst_s = now_s - kind.burst_at_s
+        factor: float = 1
+        if 0 <= in_burst_s < kind.burst_length_s:
+            factor = kind.burst_factor
+        now_s += rng.expovariate(rate * factor)
+    return times
+
+
+def _arrival(
+    rng: random.Random,
+    deployment: Deployment,
+    kind: Kind,
+    at_s: float,
+) -> Arrival:
+    """Return a random request of a kind."""
+    capacity = deployment.capacity
+    size = rng.lognormvariate(0, _SIZE_SPREAD)
+    used = scale(Resources(0, kind.cpu_milli, kind.memory_mib, 0, 1), size)
+    if rng.random() < kind.accelerator_part:
+        used += Resources(accelerator_count=1)
+    span = math.log(_LARGEST_FACTOR / _LEAST_FACTOR)
+    error = _LEAST_FACTOR * math.exp(rng.random() * span)
+    declared = Resources(
+        1,
+        min(round(used.cpu_milli * error), capacity.cpu_milli),
+        min(round(used.memory_mib * error), capacity.memory_mib),
+        used.accelerator_count,
+        1,
+    )
+    run_s = kind.run_s * rng.lognormvariate(0, kind.run_spread)
+    is_bad = not rng.randrange(_ONE_BAD_IN)
+    is_too_large = is_bad and bool(rng.randrange(2))
+    if is_too_large:
+        declared = scale(declared, _BAD_FACTOR)
+    if kind.policy is PolicyKind.service:
+        run_s = LENGTH_S
+    return Arrival(
+        at_s=at_s,
+        spec=_spec(rng, kind, declared, run_s),
+        used=used,
+        run_s=run_s,
+        is_bad=is_bad,
+        is_cancelled=not rng.randrange(_ONE_CANCELLED_IN),
+    )
+
+
+def _spec(
+    rng: random.Random,
+    kind: Kind,
+    declared: Resources,
+    run_s: float,
+) -> TaskSpec:
+    """Return the request that the owner sees."""
+    names = [name for name, *_ in TEAMS]
+    weights = [weight for _, weight, *_ in TEAMS]
+    is_urgent = kind.policy is PolicyKind.batch
+    return TaskSpec(
+        request_id='',
+        team=rng.choices(names, weights)[0],
+        queue=kind.policy.value,
+        workload=kind.name,
+        policy=kind.policy,
+        resources=declared,
+        gang_size=kind.gang_size,
+        is_unrepeatable=kind.is_unrepeatable,
+        is_urgent=is_urgent and not rng.randrange(_ONE_URGENT_IN),
+        expected_run_s=run_s * rng.uniform(_LEAST_FACTOR, _LARGEST_FACTOR),
+        deadline_s=kind.deadline_s,
+    )
+
+
+def constant_sizes(count: int, seed: int) -> list[TaskSpec]:
+    """Return requests for the scaling bench, of mixed sizes."""
+    rng = random.Random(seed)
+    names = itertools.cycle(f'team-{index}' for index in range(_KIND_CLIP))
+    return [
+        TaskSpec(
+            request_id=f'north-1.0.1.s{index}',
+            team=next(names),
+            queue='batch',
+            workload='scan',
+            policy=PolicyKind.batch,
+            resources=Resources(
+                1,
+                rng.randrange(*(500, 12000)),
+                rng.randrange(*(GIB, 48 * GIB)),
+                0,
+                1,
+            ),
+        )
+        for index in range(count)
+    ]
