--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -64,7 +64,9 @@
     """Replay one deployment at one load with each scheduler."""
     deployment = DEPLOYMENTS[name]
     events = arrivals(deployment, load, options.seed)
-    print(f'\n{name} at load {load}, seed {options.seed}, {len(events)} requests')
+    print(
+        f'\n{name} at load {load}, seed {options.seed}, {len(events)} requests'
+    )
     outcome: dict[str, object] = {'deployment': name, 'load': load}
     replays = {}
     for scheduler in options.scheduler or SCHEDULERS:
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -10,14 +10,14 @@
 
 import attrs
 
-from bench.workload import LENGTH_S
+from bench.workload import LENGTH_S, Arrival
 from currantreach_decisions import TaskEnd
 from currantreach_types import PolicyKind, Resources
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from bench.workload import Arrival, Deployment
+    from bench.workload import Deployment
     from currantreach_decisions import Placement, Scheduler
     from currantreach_types import Refusal
 
