Add a bench of real processes over loopback

Cause: the control cost of a daemon was not measured. Change: bench.processes starts cells of several sizes and prints placements, waiting time, processor share, resident size and store calls by kind.

--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,190 @@
+"""Bench of real processes over loopback: ``python -m bench.processes``."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import collections
+import json
+import pathlib
+import sys
+import tempfile
+import time
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from testbed import Cell, CellPlan
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+__all__ = ('main',)
+
+_DOMAINS = ('north', 'middle', 'south', 'east', 'west', 'river', 'hill', 'lake')
+_TEAM = 'nib-works'
+_QUEUE = 'tip-smoothing-preview'
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class Case:
+    """One cell and its load.
+
+    :ivar rate: requests a second in all, 0 for as many as possible.
+    :ivar load_count: load processes.
+    """
+
+    domain_count: int
+    daemon_count: int
+    worker_count: int
+    rate: float
+    seconds: float
+    load_count: int = 2
+
+
+@attrs.define(slots=True, kw_only=True)
+class Snapshot:
+    """Counters of a cell at one time."""
+
+    wall_s: float
+    cpu_s: dict[str, float]
+    calls: Mapping[str, int]
+
+
+async def _snapshot(cell: Cell) -> Snapshot:
+    url = cell.urls['store']
+    async with cell.session.get(f'{url}/v1/stats') as reply:
+        stats = await reply.json()
+    calls = stats.get('calls', stats)
+    return Snapshot(
+        wall_s=time.monotonic(),
+        cpu_s={name: known.cpu_s() for name, known in cell.daemons.items()},
+        calls=calls,
+    )
+
+
+async def _load(cell: Cell, case: Case) -> list[tuple[str, float, float]]:
+    urls = list(cell.http_urls.values())
+    children = [
+        await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'bench.load',
+            '--urls',
+            *urls[number % len(urls) :],
+            *urls[: number % len(urls)],
+            '--key',
+            cell.keys[_TEAM],
+            '--team',
+            _TEAM,
+            '--queue',
+            _QUEUE,
+            '--seconds',
+            str(case.seconds),
+            '--rate',
+            str(case.rate / case.load_count),
+            stdout=asyncio.subprocess.PIPE,
+        )
+        for number in range(case.load_count)
+    ]
+    outputs = await asyncio.gather(*(child.communicate() for child in children))
+    return [
+        outcome for printed, _error in outputs for outcome in json.loads(printed)
+    ]
+
+
+async def run_case(case: Case) -> dict[str, Any]:
+    """Run one case and return its figures."""
+    plan = CellPlan(
+        site='agency',
+        domains=_DOMAINS[: case.domain_count],
+        daemon_count=case.daemon_count,
+        worker_count=case.worker_count,
+    )
+    with tempfile.TemporaryDirectory() as directory:
+        async with Cell(plan, pathlib.Path(directory)) as cell:
+            await asyncio.sleep(2)
+            before = await _snapshot(cell)
+            if case.rate < 0:
+                await asyncio.sleep(case.seconds)
+                outcomes = []
+            else:
+                outcomes = await _load(cell, case)
+            after = await _snapshot(cell)
+            resident_mib = {
+                name: known.resident_mib()
+                for name, known in cell.daemons.items()
+            }
+    return _figures(case, before, after, outcomes, resident_mib)
+
+
+def _figures(
+    case: Case,
+    before: Snapshot,
+    after: Snapshot,
+    outcomes: Sequence[tuple[str, float, float]],
+    resident_mib: Mapping[str, float],
+) -> dict[str, Any]:
+    elapsed_s = after.wall_s - before.wall_s
+    cores = [
+        (after.cpu_s[name] - before.cpu_s[name]) / elapsed_s
+        for name in before.cpu_s
+    ]
+    waits = sorted(wait for state, wait, _all in outcomes if state == 'finished')
+    ends = collections.Counter(state for state, _wait, _all in outcomes)
+    return {
+        **attrs.asdict(case),
+        'finished_per_s': round(ends['finished'] / case.seconds, 1),
+        'outcomes': dict(ends),
+        'wait_p50_ms': _quantile_ms(waits, 0.5),
+        'wait_p99_ms': _quantile_ms(waits, 0.99),
+        'core_percent_max': round(max(cores) * 100, 1),
+        'core_percent_mean': round(sum(cores) / len(cores) * 100, 1),
+        'resident_mib_max': round(max(resident_mib.values()), 1),
+        'store_calls_per_s': {
+            kind: round((after.calls[kind] - before.calls.get(kind, 0)) / elapsed_s, 1)
+            for kind in after.calls
+            if after.calls[kind] != before.calls.get(kind, 0)
+        },
+    }
+
+
+def _quantile_ms(ordered: Sequence[float], part: float) -> float | None:
+    if not ordered:
+        return None
+    return round(ordered[int(part * (len(ordered) - 1))] * 1000, 2)
+
+
+def main() -> None:
+    """Run the cases and print their figures, one line of JSON each."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--domains', type=int, nargs='+', default=[1])
+    parser.add_argument('--daemons', type=int, nargs='+', default=[1, 2])
+    parser.add_argument('--workers', type=int, nargs='+', default=[24])
+    parser.add_argument(
+        '--rates',
+        type=float,
+        nargs='+',
+        default=[-1, 100, 0],
+        help='requests a second; 0: as many as possible; -1: none',
+    )
+    parser.add_argument('--seconds', type=float, default=5)
+    chosen = parser.parse_args()
+    for domain_count in chosen.domains:
+        for daemon_count in chosen.daemons:
+            for worker_count in chosen.workers:
+                for rate in chosen.rates:
+                    case = Case(
+                        domain_count=domain_count,
+                        daemon_count=daemon_count,
+                        worker_count=worker_count,
+                        rate=rate,
+                        seconds=chosen.seconds,
+                    )
+                    figures = asyncio.run(run_case(case))
+                    sys.stdout.write(f'{json.dumps(figures)}\n')
+                    sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    main()
