Do not take a task for lost that started during a renewal

Change: only tasks known before the renewal was sent are compared. An end that arrives before the answer to its start no longer breaks the link. The load of a partition is computed at most ten times a second, and a submission can wait for the final answer in one call (wait_ms).

--- a/bench/load.py
+++ b/bench/load.py
@@ -21,16 +21,11 @@
     headers: dict[str, str],
 ) -> dict[str, Any]:
     async with session.post(
-        f'{url}/v1/requests',
+        f'{url}/v1/requests?wait_ms=5000',
         json=body,
         headers=headers,
     ) as accepted:
-        answer = await accepted.json()
-    if answer['state'] not in {'accepted', 'running'}:
-        return answer
-    path = f'{url}/v1/requests/{answer["request_id"]}/answer'
-    async with session.get(path, headers=headers) as final:
-        return await final.json()
+        return await accepted.json()
 
 
 async def _loop(
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -10,6 +10,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -17,7 +18,7 @@
 from testbed import Cell, CellPlan
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Sequence
 
 __all__ = ('main',)
 
@@ -89,7 +90,9 @@
     ]
     outputs = await asyncio.gather(*(child.communicate() for child in children))
     return [
-        outcome for printed, _error in outputs for outcome in json.loads(printed)
+        outcome
+        for printed, _error in outputs
+        for outcome in json.loads(printed)
     ]
 
 
@@ -130,8 +133,10 @@
         (after.cpu_s[name] - before.cpu_s[name]) / elapsed_s
         for name in before.cpu_s
     ]
-    waits = sorted(wait for state, wait, _all in outcomes if state == 'finished')
-    ends = collections.Counter(state for state, _wait, _all in outcomes)
+    waits = sorted(
+        wait for state, wait, _all in outcomes if state == 'finished'
+    )
+    ends = collections.Counter(outcome[0] for outcome in outcomes)
     return {
         **attrs.asdict(case),
         'finished_per_s': round(ends['finished'] / case.seconds, 1),
@@ -142,7 +147,9 @@
         'core_percent_mean': round(sum(cores) / len(cores) * 100, 1),
         'resident_mib_max': round(max(resident_mib.values()), 1),
         'store_calls_per_s': {
-            kind: round((after.calls[kind] - before.calls.get(kind, 0)) / elapsed_s, 1)
+            kind: round(
+                (after.calls[kind] - before.calls.get(kind, 0)) / elapsed_s, 1
+            )
             for kind in after.calls
             if after.calls[kind] != before.calls.get(kind, 0)
         },
--- a/packages/currantreach-daemon/src/currantreach_daemon/_callers.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_callers.py
@@ -47,6 +47,8 @@
 __all__ = ('CallerApi',)
 
 _ANSWER_TIMEOUT_LIMIT_S = 60
+_ANSWER_TIMEOUT_MS = 10000
+_IN_PROGRESS = frozenset((RequestState.accepted, RequestState.running))
 _MS_PER_S = 1000
 _CANCEL_LIMIT = 10000
 
@@ -86,7 +88,10 @@
         return json_response(IdAnswer(request_id=issued))
 
     async def submit(self, request: web.Request) -> web.Response:
-        """Accept a request or tell why it was not run."""
+        """Accept a request or tell why it was not run.
+
+        With ``wait_ms`` in the query, the final answer is awaited.
+        """
         raw = await read_body(request)
         body = decode_strict_json(raw, SubmitBody)
         check_amounts(body)
@@ -104,8 +109,16 @@
                 refusals.LIMIT_NEVER_FITS,
                 body.attempt,
             )
+        wait_s = _timeout_s(request, 'wait_ms', 0)
         with self._gate.counted(admitted.team.name):
-            return await self._submit_admitted(body, admitted)
+            answer = await self._submit_admitted(body, admitted)
+            if wait_s and answer.state in _IN_PROGRESS:
+                answer = await self._wait(
+                    answer.request_id,
+                    admitted.team.name,
+                    wait_s,
+                )
+        return answer_response(answer)
 
     async def status(self, request: web.Request) -> web.Response:
         """Tell the state of a request."""
@@ -113,13 +126,7 @@
 
     async def answer(self, request: web.Request) -> web.Response:
         """Tell the answer to a request once it is final."""
-        timeout_ms = request.query.get('timeout_ms', '10000')
-        if not timeout_ms.isdecimal():
-            raise MalformedMessageError('timeout_ms is no whole number')
-        timeout_s = min(
-            int(timeout_ms) / _MS_PER_S,
-            _ANSWER_TIMEOUT_LIMIT_S,
-        )
+        timeout_s = _timeout_s(request, 'timeout_ms', _ANSWER_TIMEOUT_MS)
         return await self._answer_within(request, timeout_s)
 
     async def cancel(self, request: web.Request) -> web.Response:
@@ -155,14 +162,14 @@
         self,
         body: SubmitBody,
         admitted: Passage,
-    ) -> web.Response:
+    ) -> Answer:
         request_id = body.request_id
         if request_id:
             RequestId.parse(request_id)
         else:
             issued = await self._router.issue_id(body.resources)
             if isinstance(issued, Refusal):
-                return self._refused('', issued)
+                return not_run_answer('', issued)
             request_id = issued
         spec = task_spec(body, request_id, admitted)
         answer = await self._router.submit(
@@ -172,7 +179,7 @@
         )
         if answer.state == RequestState.not_run:
             self._metrics.refused(answer.reason)
-        return answer_response(answer)
+        return answer
 
     async def _answer_within(
         self,
@@ -245,3 +252,10 @@
         if attempt > 1:
             answer = attrs.evolve(answer, state=RequestState.unknown)
         return answer_response(answer)
+
+
+def _timeout_s(request: web.Request, name: str, default_ms: int) -> float:
+    text = request.query.get(name, str(default_ms))
+    if not text.isdecimal():
+        raise MalformedMessageError(f'{name} is no whole number; correct it')
+    return min(int(text) / _MS_PER_S, _ANSWER_TIMEOUT_LIMIT_S)
--- a/packages/currantreach-daemon/src/currantreach_daemon/_owner.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_owner.py
@@ -41,6 +41,8 @@
 
 _DECIDE_INTERVAL_S = 0.05
 _JOURNAL_RETRY_S = 0.5
+# Routing tolerates a load that is older than a heartbeat.
+_LOAD_KEPT_S = 0.1
 _RECOVERING = 'recovering'
 
 
@@ -69,6 +71,8 @@
         )
         self.workers = WorkerSet(self._state, self._events)
         self._is_recorded = asyncio.Event()
+        self._load: OwnedPartition | None = None
+        self._load_until_s = float(0)
 
     @property
     def has_limits(self) -> asyncio.Event:
@@ -205,15 +209,11 @@
 
     def load(self) -> OwnedPartition:
         """Return the claim and the load of the partition."""
-        used = sum(self.usage().values(), Resources())
-        return OwnedPartition(
-            domain=self.claim.domain,
-            partition=self.claim.partition,
-            epoch=self.claim.epoch,
-            waiting_count=self.waiting_count(),
-            free=self.workers.open_capacity() - used,
-            largest=self.workers.largest_capacity(),
-        )
+        now_s = self._state.now_s()
+        if self._load is None or now_s >= self._load_until_s:
+            self._load_until_s = now_s + _LOAD_KEPT_S
+            self._load = self._measure_load()
+        return self._load
 
     def usage(self) -> Mapping[str, Resources]:
         """Return the room taken by each team."""
@@ -231,6 +231,17 @@
         """Return the number of prompt requests that have not ended."""
         return self._state.table.open_prompt_count()
 
+    def _measure_load(self) -> OwnedPartition:
+        used = sum(self.usage().values(), Resources())
+        return OwnedPartition(
+            domain=self.claim.domain,
+            partition=self.claim.partition,
+            epoch=self.claim.epoch,
+            waiting_count=self.waiting_count(),
+            free=self.workers.open_capacity() - used,
+            largest=self.workers.largest_capacity(),
+        )
+
     async def _open_journal(self) -> tuple[JournalRecord, ...]:
         while True:
             try:
--- a/packages/currantreach-daemon/src/currantreach_daemon/_worker_link.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_worker_link.py
@@ -155,10 +155,10 @@
         )
         self._note_clock(inventory.clock_ms)
         if self.boot_id and inventory.boot_id != self.boot_id:
-            self._forget_unlisted(frozenset())
+            self._forget(frozenset(self._running))
         self.boot_id = inventory.boot_id
         self._sequence = inventory.sequence
-        self._reconcile(inventory)
+        self._reconcile(inventory, frozenset(self._running))
         self.is_connected = True
         self._listener.worker_adopted(self.worker.name, inventory)
 
@@ -211,7 +211,11 @@
             self._settle(outcome)
 
     def _settle(self, outcome: StartResult) -> None:
-        placement, start_by_ms = self._unsettled.pop(outcome.task_id)
+        unsettled = self._unsettled.pop(outcome.task_id, None)
+        if unsettled is None:
+            # An event told the end of a short task before this answer came.
+            return
+        placement, start_by_ms = unsettled
         if outcome.outcome == StartOutcome.stale_epoch:
             self._listener.task_not_started(placement)
             raise StaleEpochError('another owner has this worker')
@@ -232,18 +236,27 @@
             if self._clock.now_s() >= self._deadline_s():
                 continue
             self._extend_lease_end(self._clock.now_s())
+            running = frozenset(self._running)
             inventory = await self._client.renew(
                 self.worker,
                 self._epoch,
                 int(self._lease_s * _MS_PER_S),
             )
             self._note_clock(inventory.clock_ms)
-            self._reconcile(inventory)
+            self._reconcile(inventory, running)
+
+    def _reconcile(
+        self,
+        inventory: Inventory,
+        running: frozenset[str],
+    ) -> None:
+        """Compare the inventory with what was known before it was asked for.
 
-    def _reconcile(self, inventory: Inventory) -> None:
+        A task that started while the question was on its way is in neither.
+        """
         listed = frozenset(task.task_id for task in inventory.tasks)
         self._settle_lost_answers(inventory, listed)
-        self._forget_unlisted(listed)
+        self._forget(running - listed)
         for task in inventory.tasks:
             self._see(task)
 
@@ -263,8 +276,8 @@
         if self._unsettled:
             self._wakeup.set()
 
-    def _forget_unlisted(self, listed: frozenset[str]) -> None:
-        for task_id in tuple(self._running - listed):
+    def _forget(self, task_ids: frozenset[str]) -> None:
+        for task_id in task_ids & self._running:
             self._running.discard(task_id)
             self._listener.task_lost(self.worker.name, task_id)
 
@@ -279,7 +292,7 @@
     def _expire_lost(self) -> None:
         if self._clock.now_s() < self._lease_end_s + _LOSS_MARGIN_S:
             return
-        self._forget_unlisted(frozenset())
+        self._forget(frozenset(self._running))
         for placement, _start_by_ms in tuple(self._unsettled.values()):
             self._unsettled.pop(placement.task_id)
             self._listener.task_lost(self.worker.name, placement.task_id)
