--- a/packages/currantreach-state/src/currantreach_state/__init__.py
+++ b/packages/currantreach-state/src/currantreach_state/__init__.py
@@ -1,3 +1,7 @@
 """Claims, journal and allotments kept in the platform store."""
 
 from __future__ import annotations
+
+from currantreach_state._journal import Journal, JournalRecord, RecordKind
+
+__all__ = ('Journal', 'JournalRecord', 'RecordKind')
