--- a/packages/currantreach-state/src/currantreach_state/_journal.py
+++ b/packages/currantreach-state/src/currantreach_state/_journal.py
@@ -197,6 +197,12 @@
     def _enqueue(self, record: JournalRecord) -> _Waiter:
         if self._closed_by is not None:
             raise self._closed_by
+        if record.kind == RecordKind.retired:
+            # It only hides older records, so it needs no content.
+            record = JournalRecord(
+                request_id=record.request_id,
+                kind=record.kind,
+            )
         size = size_bytes(record)
         if size > _RECORD_LIMIT_BYTES:
             raise MalformedMessageError(
