--- a/packages/currantreach-daemon/src/currantreach_daemon/_owner.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_owner.py
@@ -80,6 +80,7 @@
         for record in await self._open_journal():
             self._recovery.add_record(record)
         self._is_recorded.set()
+        self.workers.open()
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._decide_rounds())
--- a/packages/currantreach-daemon/src/currantreach_daemon/_worker_set.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_worker_set.py
@@ -25,8 +25,19 @@
         """Start without workers."""
         self._state = state
         self._listener = listener
+        self._is_open = False
+        self._listed: tuple[WorkerInfo, ...] = ()
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
+    def open(self) -> None:
+        """Open the links, once the requests of the journal are known.
+
+        A task of a request that is not known yet would be taken for one that
+        nothing waits for.
+        """
+        self._is_open = True
+        self.update(self._listed, self._state.closed)
+
     async def close(self) -> None:
         """Stop all links and leave the tasks to the successor."""
         running = tuple(self._tasks.values())
@@ -40,6 +51,10 @@
         :param hosts: workers of this partition.
         :param closed: names of workers that receive no new task.
         """
+        self._listed = tuple(hosts)
+        self._state.closed = closed
+        if not self._is_open:
+            return
         listed = {host.name: host for host in hosts}
         for name, host in listed.items():
             self._state.hosts[name] = host
@@ -51,7 +66,6 @@
             self._state.tools.scheduler.set_worker(host, is_open=is_open)
         for gone in tuple(self._state.links.keys() - listed.keys()):
             self._drop_unlisted(gone)
-        self._state.closed = closed
         self._state.wakeup.set()
 
     @property
