Give no final answer about ids of a later epoch

Cause: an owner that was replaced while it paused answered for ids that its successor had issued as unknown and not to be asked again, until its own deadline check ended it. Callers of accepted durable work gave up.

Change: such an id is answered unknown with can_retry.

--- a/packages/currantreach-daemon/src/currantreach_daemon/_owner.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_owner.py
@@ -274,6 +274,9 @@
 
     def _unknown_answer(self, request_id: str) -> Answer:
         is_settled = self._recovery.finished.is_set()
+        if RequestId.parse(request_id).epoch > self.claim.epoch:
+            # This owner was replaced while it paused and does not know yet.
+            is_settled = False
         return Answer(
             request_id=request_id,
             state=RequestState.unknown,
@@ -281,7 +284,7 @@
             remedy=(
                 'the work may have run; submit with a new id to run it again'
                 if is_settled
-                else 'ask again; the owner is still reading its workers'
+                else 'ask again; the owner changes or is reading its workers'
             ),
             can_retry=not is_settled,
         )
