--- /dev/null
+++ b/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Proofs of the guarantees by real processes under failure."""
--- /dev/null
+++ b/proofs/_plans.py
@@ -0,0 +1,48 @@
+"""Cells that the proofs use."""
+
+from __future__ import annotations
+
+import types
+from typing import Any
+
+from testbed import CellPlan
+
+__all__ = ('DOMAINS', 'FAST', 'SMALL', 'SMALL_CAPACITY', 'small_plan')
+
+DOMAINS = ('north', 'south')
+# Four seconds of session lease would make each takeover wait longer without
+# showing anything else.
+FAST = types.MappingProxyType(
+    {
+        'session_ttl_s': 2,
+        'renew_interval_s': 0.5,
+        'claim_margin_s': 0.25,
+        'task_lease_s': 6,
+    },
+)
+SMALL_CAPACITY = types.MappingProxyType(
+    {
+        'slot_count': 6,
+        'cpu_milli': 24000,
+        'memory_mib': 49152,
+        'accelerator_count': 0,
+        'connection_count': 64,
+    },
+)
+
+
+def small_plan(**more: Any) -> CellPlan:
+    """Return a cell that the load of the proofs fills."""
+    fields: dict[str, Any] = {
+        'site': 'agency',
+        'domains': DOMAINS,
+        'daemon_count': 2,
+        'worker_count': 3,
+        'capacity': SMALL_CAPACITY,
+        'settings': FAST,
+        **more,
+    }
+    return CellPlan(**fields)
+
+
+SMALL = small_plan()
--- a/testbed/__init__.py
+++ b/testbed/__init__.py
@@ -6,6 +6,7 @@
 from testbed._cell import Cell, CellPlan
 from testbed._checker import Findings, check_logs
 from testbed._process import Process, free_ports
+from testbed._relay import Relay
 
 __all__ = (
     'Caller',
@@ -13,6 +14,7 @@
     'CellPlan',
     'Findings',
     'Process',
+    'Relay',
     'Sent',
     'check_logs',
     'free_ports',
--- a/testbed/_cell.py
+++ b/testbed/_cell.py
@@ -13,6 +13,7 @@
 import attrs
 
 from testbed._process import Process, free_ports
+from testbed._relay import Relay
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -38,6 +39,8 @@
     :ivar capacity: what each worker holds.
     :ivar refuses: whether workers refuse stale and late starts.
     :ivar settings: further settings of the daemons.
+    :ivar upper_limits: upper limits of teams in place of the example's.
+    :ivar has_relays: whether each peer link passes a relay of its own.
     """
 
     site: str
@@ -56,6 +59,8 @@
     )
     refuses: bool = True
     settings: Mapping[str, Any] = attrs.field(factory=dict)
+    upper_limits: Mapping[str, Mapping[str, int]] = attrs.field(factory=dict)
+    has_relays: bool = False
 
 
 class Cell:
@@ -71,6 +76,7 @@
         self.urls: dict[str, str] = {}
         self.session: aiohttp.ClientSession
         self.keys: dict[str, str] = {}
+        self.relays: dict[tuple[str, str], Relay] = {}
         self._settings: dict[str, pathlib.Path] = {}
 
     async def __aenter__(self) -> Cell:
@@ -91,6 +97,7 @@
         """End all processes, daemons first."""
         await asyncio.gather(*(known.end() for known in self.daemons.values()))
         await asyncio.gather(*(known.end() for known in self.standins.values()))
+        await asyncio.gather(*(known.close() for known in self.relays.values()))
         await self.session.close()
 
     def daemon_of(self, domain: str, number: int = 0) -> str:
@@ -167,8 +174,13 @@
     def documents(self) -> dict[str, Any]:
         """Return the example base file and its overlay."""
         site = _EXAMPLES / self.plan.site
+        base = json.loads((site / 'base.json').read_text())
+        for team in base['teams']:
+            team['upper_limit'].update(
+                self.plan.upper_limits.get(team['name'], {}),
+            )
         return {
-            'base': json.loads((site / 'base.json').read_text()),
+            'base': base,
             'overlays': [
                 {
                     'name': 'overlay.json',
@@ -179,6 +191,19 @@
             ],
         }
 
+    def upper_limits(self) -> dict[str, dict[str, int]]:
+        """Return the upper limit of each team."""
+        return {
+            team['name']: team['upper_limit']
+            for team in self.documents()['base']['teams']
+        }
+
+    def set_cut_off(self, daemon_id: str, *, is_cut_off: bool) -> None:
+        """Silence the peer links of a daemon, or let them pass again."""
+        for pair, relay in self.relays.items():
+            if daemon_id in pair:
+                relay.is_silent = is_cut_off
+
     def freeze(self, daemon_id: str) -> None:
         """Pause a daemon."""
         self.daemons[daemon_id].send(signal.SIGSTOP)
@@ -215,7 +240,7 @@
         self._read_keys()
         await self._start_standins()
         await self.start_workers()
-        self._write_settings()
+        await self._write_settings()
         await asyncio.gather(
             *(self.start_daemon(known) for known in self._settings),
         )
@@ -269,7 +294,7 @@
             path.write_text(json.dumps(local))
         return entries
 
-    def _write_settings(self) -> None:
+    async def _write_settings(self) -> None:
         names = [
             (domain, self.daemon_of(domain, number))
             for domain in self.plan.domains
@@ -287,6 +312,8 @@
         }
         for daemon_id, peer in peers.items():
             self.http_urls[daemon_id] = peer['http_url']
+            if self.plan.has_relays:
+                await self._start_relays(daemon_id, peers)
             path = self.directory / f'{daemon_id}.json'
             path.write_text(json.dumps(self._settings_of(peer, peers)))
             self._settings[daemon_id] = path
@@ -306,7 +333,7 @@
             'peer_host': _HOST,
             'peer_port': peer_port,
             'peers': [
-                peer
+                self._relayed(own['daemon_id'], peer)
                 for daemon_id, peer in peers.items()
                 if daemon_id != own['daemon_id']
             ],
@@ -317,6 +344,24 @@
             **self.plan.settings,
         }
 
+    async def _start_relays(
+        self,
+        source: str,
+        peers: Mapping[str, Mapping[str, str]],
+    ) -> None:
+        for target, peer in peers.items():
+            if target != source:
+                port = int(peer['peer_address'].rpartition(':')[2])
+                relay = Relay(port)
+                await relay.start()
+                self.relays[source, target] = relay
+
+    def _relayed(self, source: str, peer: Mapping[str, str]) -> dict[str, str]:
+        relay = self.relays.get((source, peer['daemon_id']))
+        if relay is None:
+            return dict(peer)
+        return {**peer, 'peer_address': f'{_HOST}:{relay.port}'}
+
     async def _apply_first(self) -> None:
         body = {
             **self.documents(),
