Keep worker links alive and truthful under races and restarts

A task that ended before its start was answered (KeyError), a claim that had lapsed for good (deadline of minus infinity) and a huge run time each ended the link without a word. A renewal answered late declared tasks lost that were started meanwhile, or let ended tasks run again. A restart of the worker turned an unsettled start into 'not started', although the worker's clock had started anew and the task may have run. Leases were counted from the sending of a renewal, not from its last possible effect. A worker that came back under another address was never contacted.

Change: answers of tasks that events settled are ignored, inventories older than the events seen are ignored, only tasks that ran before an inventory was asked for can be missing from it, a restart loses unsettled starts, the lease counts from the end of the renewal call, run times are capped at a year and move() adopts a worker under its new address.

--- a/packages/currantreach-daemon/src/currantreach_daemon/_worker_link.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_worker_link.py
@@ -37,6 +37,8 @@
 _RENEWALS_PER_LEASE = 4
 _LOSS_MARGIN_S = 1
 _MS_PER_S = 1000
+# The wire format of workers has no room for longer run times.
+_RUN_LIMIT_S = 31536000
 
 
 class WorkerListener(abc.ABC):
@@ -90,6 +92,7 @@
         """Prepare the link; :meth:`run` does the work."""
         self.worker = worker
         self.is_connected = False
+        self._listed = worker
         self._client = client
         self._clock = clock
         self._epoch = epoch
@@ -127,6 +130,15 @@
         self._waiting.append(placement)
         self._wakeup.set()
 
+    def move(self, worker: WorkerInfo) -> None:
+        """Adopt the worker again under the address of its new entry."""
+        self._listed = worker
+        self._wakeup.set()
+
+    def has_expired(self) -> bool:
+        """Tell whether all tasks of a silent worker have ended for certain."""
+        return not self.is_connected and self._is_lease_over()
+
     async def stop(self, task_ids: tuple[str, ...]) -> None:
         """Stop tasks."""
         await self._client.stop(self.worker, self._epoch, task_ids)
@@ -140,14 +152,16 @@
         await self._client.retire(self.worker, self._epoch, task_ids)
 
     def _disconnect(self) -> None:
-        self.is_connected = False
-        self._listener.worker_disconnected(self.worker.name)
+        if self.is_connected:
+            self.is_connected = False
+            self._listener.worker_disconnected(self.worker.name)
         placements = self._waiting
         self._waiting = []
         for placement in placements:
             self._listener.task_not_started(placement)
 
     async def _adopt(self) -> None:
+        self.worker = self._listed
         inventory = await self._client.adopt(
             self.worker,
             self._epoch,
@@ -155,10 +169,12 @@
         )
         self._note_clock(inventory.clock_ms)
         if self.boot_id and inventory.boot_id != self.boot_id:
-            self._forget_unlisted(frozenset())
+            # The worker's clock started anew, so that the latest start of an
+            # order says nothing: it may have been carried out before.
+            self._lose_all()
         self.boot_id = inventory.boot_id
         self._sequence = inventory.sequence
-        self._reconcile(inventory)
+        self._reconcile(inventory, frozenset(self._running))
         self.is_connected = True
         self._listener.worker_adopted(self.worker.name, inventory)
 
@@ -185,6 +201,8 @@
         while True:
             await self._wakeup.wait()
             self._wakeup.clear()
+            if self._listed.url != self.worker.url:
+                raise WorkerUnavailableError('the worker moved; adopt it')
             batch = self._waiting
             self._waiting = []
             if batch:
@@ -193,11 +211,10 @@
                 raise WorkerUnavailableError('a start is not settled; adopt')
 
     async def _send_batch(self, batch: list[Placement]) -> None:
-        start_by_s = min(
-            self._deadline_s(),
-            self._clock.now_s() + _START_WINDOW_S,
-        )
-        start_by_ms = self._worker_clock_ms(start_by_s)
+        now_s = self._clock.now_s()
+        start_by_s = min(self._deadline_s(), now_s + _START_WINDOW_S)
+        # A claim that lapsed for good has a deadline of minus infinity.
+        start_by_ms = self._worker_clock_ms(max(start_by_s, now_s - 1))
         orders = [self._order(placement, start_by_ms) for placement in batch]
         if self._clock.now_s() >= self._deadline_s():
             for refused in batch:
@@ -211,7 +228,11 @@
             self._settle(outcome)
 
     def _settle(self, outcome: StartResult) -> None:
-        placement, start_by_ms = self._unsettled.pop(outcome.task_id)
+        unsettled = self._unsettled.pop(outcome.task_id, None)
+        if unsettled is None:
+            # An event or an inventory told of the task before the answer.
+            return
+        placement, start_by_ms = unsettled
         if outcome.outcome == StartOutcome.stale_epoch:
             self._listener.task_not_started(placement)
             raise StaleEpochError('another owner has this worker')
@@ -231,19 +252,38 @@
             await asyncio.sleep(self._lease_s / _RENEWALS_PER_LEASE)
             if self._clock.now_s() >= self._deadline_s():
                 continue
-            self._extend_lease_end(self._clock.now_s())
-            inventory = await self._client.renew(
+            running = frozenset(self._running)
+            inventory = await self._renew()
+            self._note_clock(inventory.clock_ms)
+            self._reconcile(inventory, running)
+
+    async def _renew(self) -> Inventory:
+        try:
+            return await self._client.renew(
                 self.worker,
                 self._epoch,
                 int(self._lease_s * _MS_PER_S),
             )
-            self._note_clock(inventory.clock_ms)
-            self._reconcile(inventory)
+        finally:
+            # Even without an answer the lease may count from this moment.
+            self._extend_lease_end(self._clock.now_s())
+
+    def _reconcile(
+        self,
+        inventory: Inventory,
+        running: frozenset[str],
+    ) -> None:
+        """Take over an inventory.
 
-    def _reconcile(self, inventory: Inventory) -> None:
+        :param running: tasks that ran before the inventory was asked for; it
+            need not list others.
+        """
+        if inventory.sequence < self._sequence:
+            # Events overtook the inventory, and they are newer.
+            return
         listed = frozenset(task.task_id for task in inventory.tasks)
         self._settle_lost_answers(inventory, listed)
-        self._forget_unlisted(listed)
+        self._forget(running - listed)
         for task in inventory.tasks:
             self._see(task)
 
@@ -263,8 +303,8 @@
         if self._unsettled:
             self._wakeup.set()
 
-    def _forget_unlisted(self, listed: frozenset[str]) -> None:
-        for task_id in tuple(self._running - listed):
+    def _forget(self, task_ids: frozenset[str]) -> None:
+        for task_id in self._running & task_ids:
             self._running.discard(task_id)
             self._listener.task_lost(self.worker.name, task_id)
 
@@ -277,9 +317,14 @@
         self._listener.task_seen(self.worker.name, task)
 
     def _expire_lost(self) -> None:
-        if self._clock.now_s() < self._lease_end_s + _LOSS_MARGIN_S:
-            return
-        self._forget_unlisted(frozenset())
+        if self._is_lease_over():
+            self._lose_all()
+
+    def _is_lease_over(self) -> bool:
+        return self._clock.now_s() >= self._lease_end_s + _LOSS_MARGIN_S
+
+    def _lose_all(self) -> None:
+        self._forget(frozenset(self._running))
         for placement, _start_by_ms in tuple(self._unsettled.values()):
             self._unsettled.pop(placement.task_id)
             self._listener.task_lost(self.worker.name, placement.task_id)
@@ -303,7 +348,7 @@
             start_by_ms=start_by_ms,
             resources=placement.resources,
             lease_ms=int(self._lease_s * _MS_PER_S),
-            run_ms=int(spec.expected_run_s * _MS_PER_S),
+            run_ms=int(min(spec.expected_run_s, _RUN_LIMIT_S) * _MS_PER_S),
             spec_json=encode_json(spec).decode(),
         )
 
--- /dev/null
+++ b/packages/currantreach-daemon/tests/conftest.py
@@ -0,0 +1,553 @@
+"""In-memory workers, journal and owners on an event loop with virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import selectors
+
+import attrs
+import hypothesis
+import pytest
+
+from currantreach_daemon._metrics import Metrics
+from currantreach_daemon._owner import Owner
+from currantreach_daemon._owner_state import OwnerTools
+from currantreach_daemon._requests import body_hash_of
+from currantreach_decisions import IndexedScheduler, TeamTerms
+from currantreach_platform import WorkerClient
+from currantreach_state import Claim, RecordKind
+from currantreach_types import (
+    Clock,
+    Inventory,
+    PolicyKind,
+    Resources,
+    StartOutcome,
+    StartResult,
+    TaskPhase,
+    TaskSpec,
+    WorkerEvents,
+    WorkerInfo,
+    WorkerTask,
+)
+from currantreach_types.errors import (
+    LostAnswerError,
+    StaleEpochError,
+    StoreUnavailableError,
+    WorkerUnavailableError,
+)
+
+hypothesis.settings.register_profile('fixed', derandomize=True, deadline=None)
+hypothesis.settings.load_profile('fixed')
+
+LEASE_S = 30
+SLOTS = 4
+_METRICS = Metrics()
+
+
+class _JumpingSelector(selectors.DefaultSelector):
+    """Selector that moves a virtual clock instead of waiting."""
+
+    def __init__(self):
+        super().__init__()
+        self.now_s = 1000.0
+
+    def select(self, timeout=None):
+        ready = super().select(0)
+        if not ready and timeout:
+            self.now_s += timeout
+        return ready
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Event loop whose sleeps end at once, in the right order."""
+
+    def __init__(self):
+        self.jumping = _JumpingSelector()
+        super().__init__(self.jumping)
+
+    def time(self):
+        return self.jumping.now_s
+
+
+class LoopClock(Clock):
+    """Clock that shows the virtual time of a loop."""
+
+    def __init__(self, loop):
+        self.loop = loop
+
+    def now_s(self):
+        return self.loop.time()
+
+
+@attrs.define
+class Run:
+    """A task on a fake worker."""
+
+    order: object
+    phase: TaskPhase
+    end_s: float
+    lease_end_s: float
+    output: str = ''
+
+
+class FakeWorker:
+    """Worker that enforces epochs and latest starts.
+
+    ``lost`` names the calls whose next answer is lost after their effect,
+    ``dropped`` those that are lost before it, ``delays`` maps calls and
+    ``'effect'`` or ``'answer'`` to events that delay them.
+    """
+
+    def __init__(self, cell, name, slots=SLOTS):
+        self.cell = cell
+        self.name = name
+        self.capacity = Resources(slots, slots * 1000, slots * 1000)
+        self.url = f'http://{name}'
+        self.lost = collections.Counter()
+        self.dropped = collections.Counter()
+        self.delays = {}
+        self.is_cut = False
+        self.fails = False
+        self.boot = 0
+        self.clear()
+
+    def clear(self):
+        """Restart: another boot, another clock, no tasks, no epoch."""
+        self.boot += 1
+        self.epoch = 0
+        self.tasks = {}
+        self.feed = []
+        self.clock_offset_s = 50 * self.boot
+
+    @property
+    def info(self):
+        """Return the host list entry."""
+        return WorkerInfo(
+            name=self.name,
+            failure_domain='dom',
+            rack=self.name,
+            url=self.url,
+            capacity=self.capacity,
+        )
+
+    @property
+    def running(self):
+        """Return the ids of the running tasks."""
+        self.step()
+        return {
+            name
+            for name, known in self.tasks.items()
+            if known.phase == TaskPhase.running
+        }
+
+    async def delay(self, method, part):
+        """Wait as long as the test delays a part of a call."""
+        event = self.delays.get((method, part))
+        if event is not None:
+            await event.wait()
+
+    def clock_ms(self):
+        """Return the worker's own clock."""
+        return int((self.cell.clock.now_s() + self.clock_offset_s) * 1000)
+
+    def end(self, name, phase):
+        """End a task."""
+        known = self.tasks[name]
+        known.phase = phase
+        if phase == TaskPhase.finished:
+            known.output = f'{name}@{self.name}'
+        self.feed.append(name)
+
+    def step(self):
+        """Carry out what time has brought."""
+        now_s = self.cell.clock.now_s()
+        for name, known in self.tasks.items():
+            if known.phase != TaskPhase.running:
+                continue
+            if known.end_s <= min(now_s, known.lease_end_s):
+                self.end(name, TaskPhase.finished)
+            elif known.lease_end_s <= now_s:
+                self.end(name, TaskPhase.expired)
+
+    def fence(self, epoch):
+        """Refuse a lower epoch."""
+        if epoch < self.epoch:
+            raise StaleEpochError(self.name)
+        self.epoch = epoch
+
+    def start(self, order):
+        """Start a task, unless it is stale, late or known."""
+        outcome = StartOutcome.started
+        if order.epoch < self.epoch:
+            outcome = StartOutcome.stale_epoch
+        elif order.start_by_ms < self.clock_ms():
+            outcome = StartOutcome.too_late
+        elif order.task_id in self.tasks:
+            outcome = StartOutcome.known
+        else:
+            self.cell.note_start(self, order)
+            now_s = self.cell.clock.now_s()
+            self.tasks[order.task_id] = Run(
+                order,
+                TaskPhase.running,
+                now_s + order.run_ms / 1000,
+                now_s + order.lease_ms / 1000,
+            )
+            if self.fails:
+                self.end(order.task_id, TaskPhase.failed)
+        return StartResult(task_id=order.task_id, outcome=outcome)
+
+    def reported(self, name):
+        """Return a task as it is reported."""
+        known = self.tasks[name]
+        return WorkerTask(
+            task_id=name,
+            epoch=known.order.epoch,
+            phase=known.phase,
+            resources=known.order.resources,
+            output=known.output,
+            spec_json=known.order.spec_json,
+        )
+
+    def inventory(self):
+        """Return all tasks."""
+        return Inventory(
+            worker=self.name,
+            epoch=self.epoch,
+            clock_ms=self.clock_ms(),
+            boot_id=f'{self.name}-{self.boot}',
+            sequence=len(self.feed),
+            tasks=tuple(self.reported(name) for name in self.tasks),
+        )
+
+
+class FakeWorkers(WorkerClient):
+    """Client of the fake workers."""
+
+    def __init__(self, cell):
+        self.cell = cell
+
+    async def adopt(self, worker, epoch, owner):
+        return await self._call('adopt', worker, self._adopt, epoch)
+
+    async def start(self, worker, orders):
+        return await self._call('start', worker, self._start, orders)
+
+    async def renew(self, worker, epoch, lease_ms):
+        return await self._call('renew', worker, self._renew, epoch, lease_ms)
+
+    async def stop(self, worker, epoch, task_ids):
+        await self._call('stop', worker, self._stop, epoch, task_ids)
+
+    async def checkpoint(self, worker, epoch, task_ids):
+        self.cell.calls['checkpoint'].extend(task_ids)
+        await self._call('checkpoint', worker, self._stop, epoch, task_ids)
+
+    async def throttle(self, worker, epoch, task_ids):
+        """Do nothing."""
+
+    async def retire(self, worker, epoch, task_ids):
+        await self._call('retire', worker, self._retire, epoch, task_ids)
+
+    async def events(self, worker, after_sequence, timeout_s):
+        end_s = self.cell.clock.now_s() + timeout_s
+        boot = self.cell[worker].boot
+        while True:
+            events = await self._call(
+                'events', worker, self._events, after_sequence
+            )
+            if events.tasks or self.cell.clock.now_s() >= end_s:
+                return events
+            if self.cell[worker].boot != boot:
+                return events
+            await asyncio.sleep(0.02)
+
+    async def close(self):
+        """Do nothing."""
+
+    async def _call(self, method, info, effect, *args):
+        worker = self.cell[info]
+        await asyncio.sleep(0.001)
+        is_elsewhere = info.url != worker.url
+        if worker.is_cut or is_elsewhere or worker.dropped[method] > 0:
+            worker.dropped[method] -= 1
+            await asyncio.sleep(0.5)
+            raise WorkerUnavailableError(f'{method} was lost')
+        await worker.delay(method, 'effect')
+        worker.step()
+        answer = effect(worker, *args)
+        await worker.delay(method, 'answer')
+        if worker.is_cut or worker.lost[method] > 0:
+            worker.lost[method] -= 1
+            await asyncio.sleep(0.5)
+            raise WorkerUnavailableError(f'the answer to {method} was lost')
+        return answer
+
+    def _adopt(self, worker, epoch):
+        worker.fence(epoch)
+        return worker.inventory()
+
+    def _start(self, worker, orders):
+        self.cell.calls['start'].extend(orders)
+        return tuple(worker.start(order) for order in orders)
+
+    def _renew(self, worker, epoch, lease_ms):
+        worker.fence(epoch)
+        for name in worker.running:
+            lease_end_s = self.cell.clock.now_s() + lease_ms / 1000
+            worker.tasks[name].lease_end_s = lease_end_s
+        return worker.inventory()
+
+    def _stop(self, worker, epoch, task_ids):
+        worker.fence(epoch)
+        for name in worker.running & set(task_ids):
+            worker.end(name, TaskPhase.stopped)
+
+    def _retire(self, worker, epoch, task_ids):
+        worker.fence(epoch)
+        for name in set(task_ids) & worker.tasks.keys() - worker.running:
+            worker.tasks.pop(name)
+
+    def _events(self, worker, after):
+        names = dict.fromkeys(worker.feed[after:])
+        return WorkerEvents(
+            clock_ms=worker.clock_ms(),
+            boot_id=f'{worker.name}-{worker.boot}',
+            sequence=len(worker.feed),
+            tasks=tuple(
+                worker.reported(name) for name in names if name in worker.tasks
+            ),
+        )
+
+
+class JournalStore:
+    """What the store keeps of the journal, and its faults.
+
+    ``faults`` holds ``'down'``, ``'lost'`` for an answer lost after the
+    write or ``'late'`` for one lost without it; ``None`` is no fault.
+    """
+
+    def __init__(self):
+        self.epoch = 0
+        self.records = {}
+        self.faults = collections.deque()
+        self.is_down = False
+        self.held = None
+
+
+class FakeJournal:
+    """Journal of one owner."""
+
+    def __init__(self, kept, epoch):
+        self.kept = kept
+        self.epoch = epoch
+        self.outcomes = {}
+
+    async def open(self):
+        await asyncio.sleep(0.01)
+        if self.kept.is_down:
+            raise StoreUnavailableError('injected')
+        if self.kept.epoch > self.epoch:
+            raise StaleEpochError('injected')
+        self.kept.epoch = self.epoch
+        return tuple(self.kept.records.values())
+
+    async def append(self, record):
+        await asyncio.sleep(0.01)
+        if self.kept.held is not None:
+            await self.kept.held.wait()
+        if self.kept.epoch > self.epoch:
+            raise StaleEpochError('injected')
+        fault = self.kept.faults.popleft() if self.kept.faults else None
+        if fault == 'down' or self.kept.is_down:
+            raise StoreUnavailableError('injected')
+        if fault != 'late':
+            self._write(record)
+        if fault:
+            self.outcomes[record] = fault == 'lost'
+            raise LostAnswerError('injected')
+
+    async def settle(self, record):
+        await asyncio.sleep(0.5)
+        return self.outcomes.pop(record)
+
+    async def close(self):
+        """Do nothing."""
+
+    def _write(self, record):
+        if record.kind == RecordKind.retired:
+            self.kept.records.pop(record.request_id, None)
+        else:
+            self.kept.records[record.request_id] = record
+
+
+class FakeQuotas:
+    """Team terms that never change."""
+
+    revision = 1
+
+    def __init__(self, owner, tools):
+        self.owner = owner
+        self.tools = tools
+
+    async def keep(self):
+        terms = TeamTerms(share=1, allotment=Resources(999, 999000, 999000))
+        self.tools.scheduler.set_teams({'tine': terms, 'feed': terms})
+        self.owner.has_limits.set()
+        await asyncio.Event().wait()
+
+    def granted(self, team):
+        return Resources()
+
+
+class Cell:
+    """Workers, a journal and the owners that follow each other."""
+
+    def __init__(self, loop, worker_count=2, **options):
+        self.clock = LoopClock(loop)
+        self.journal = JournalStore()
+        self.client = FakeWorkers(self)
+        self.workers = {}
+        self.starts = []
+        self.calls = collections.defaultdict(list)
+        self.faults = []
+        self.options = {'metrics': _METRICS, **options}
+        self.deadline_s = float('inf')
+        self.epoch = 0
+        self.owner = None
+        self.closed = set()
+        for number in range(worker_count):
+            self.add_worker(f'w{number}')
+
+    def __getitem__(self, info):
+        return self.workers[info.name]
+
+    def add_worker(self, name, slots=SLOTS):
+        """Add a worker to the host list."""
+        self.workers[name] = FakeWorker(self, name, slots)
+        return self.workers[name]
+
+    def note_start(self, worker, order):
+        """Note a start and the promises that it breaks."""
+        self.starts.append((worker.name, order.task_id))
+        if any(order.task_id in other.running for other in self.list()):
+            self.faults.append(f'{order.task_id} runs in two places')
+        if len(worker.running) >= worker.capacity.slot_count:
+            self.faults.append(f'{worker.name} is overcommitted')
+
+    def list(self):
+        """Return all workers."""
+        return tuple(self.workers.values())
+
+    def places(self, request_id):
+        """Return the workers that run a task of a request."""
+        return [
+            worker.name
+            for worker in self.list()
+            for name in worker.running
+            if name.startswith(f'{request_id}/')
+        ]
+
+    def start_count(self, request_id):
+        """Return how many starts of a request took effect."""
+        return sum(f'{request_id}/' in name for _, name in self.starts)
+
+    def new_owner(self):
+        """Let a successor take the partition; the old owner does not know."""
+        self.epoch += 1
+        claim = Claim(
+            domain='dom',
+            partition=0,
+            owner=f'd{self.epoch}',
+            session_id=f's{self.epoch}',
+            epoch=self.epoch,
+        )
+        tools = OwnerTools(
+            clock=self.clock,
+            scheduler=IndexedScheduler({'batch': 50, 'short': 1}),
+            journal=FakeJournal(self.journal, self.epoch),
+            workers=self.client,
+            deadline_s=lambda: self.deadline_s,
+            task_lease_s=LEASE_S,
+            result_retention_s=3600,
+            unadopted_wait_s=LEASE_S + 4,
+            **self.options,
+        )
+        self.owner = Owner(claim, tools)
+        self.owner.quotas = FakeQuotas(self.owner, tools)
+        self.running = self.clock.loop.create_task(self.owner.run())
+        self.list_hosts()
+        return self.owner
+
+    def list_hosts(self):
+        """Hand the host list to the owner."""
+        hosts = [worker.info for worker in self.list()]
+        self.owner.workers.update(hosts, set(self.closed))
+
+    async def stop_owner(self):
+        """Kill the owner."""
+        self.running.cancel()
+        await asyncio.wait([self.running])
+
+    async def replace_owner(self):
+        """Kill the owner and let a successor take over."""
+        await self.stop_owner()
+        return self.new_owner()
+
+    def spec(self, policy='batch', **fields):
+        """Return a request with an id of the present epoch."""
+        fields.setdefault('request_id', self.owner.issue_id())
+        fields.setdefault('team', 'tine')
+        fields.setdefault('queue', policy)
+        fields.setdefault('expected_run_s', 5)
+        return TaskSpec(
+            workload='scan',
+            policy=PolicyKind(policy),
+            resources=Resources(1, 1000, 1000),
+            **fields,
+        )
+
+    async def submit(self, spec):
+        """Submit a request to the owner."""
+        return await self.owner.submit(spec, body_hash_of(spec))
+
+    async def ready(self):
+        """Start an owner and wait until it has adopted its workers."""
+        self.new_owner()
+        await asyncio.sleep(0.5)
+
+    async def final(self, request_id, timeout_s=120):
+        """Return the answer once it is final."""
+        return await self.owner.wait(request_id, 'tine', timeout_s)
+
+
+@pytest.fixture
+def new_loop():
+    """Return the class of the loop with virtual time."""
+    return VirtualLoop
+
+
+@pytest.fixture
+def new_cell():
+    """Return the class of the simulated cell, for state machines."""
+    return Cell
+
+
+@pytest.fixture
+def simulate():
+    """Return a function that runs a scenario on a simulated cell."""
+
+    def play(scenario, worker_count=2, **options):
+        with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+            cell = Cell(runner.get_loop(), worker_count, **options)
+
+            async def whole():
+                await cell.ready()
+                await scenario(cell)
+                assert not cell.faults
+                await cell.stop_owner()
+
+            runner.run(whole())
+
+    return play
