--- a/testbed/_relay.py
+++ b/testbed/_relay.py
@@ -21,7 +21,7 @@
 
     def __init__(self, target_port: int) -> None:
         """Prepare a relay to ``target_port``."""
-        self.delay_s = 0.0
+        self.delay_s = float(0)
         self.is_silent = False
         self.port = 0
         self._target_port = target_port
