--- a/bench/processes.py
+++ b/bench/processes.py
@@ -50,6 +50,7 @@
     wall_s: float
     cpu_s: dict[str, float]
     calls: Mapping[str, int]
+    peer_bytes: dict[str, float]
 
 
 async def _snapshot(cell: Cell) -> Snapshot:
@@ -61,9 +62,21 @@
         wall_s=time.monotonic(),
         cpu_s={name: known.cpu_s() for name, known in cell.daemons.items()},
         calls=calls,
+        peer_bytes=await _peer_bytes(cell),
     )
 
 
+async def _peer_bytes(cell: Cell) -> dict[str, float]:
+    found: dict[str, float] = {}
+    for name, url in cell.http_urls.items():
+        async with cell.session.get(f'{url}/metrics') as reply:
+            text = await reply.text()
+        for line in text.splitlines():
+            if line.startswith('currantreach_peer_bytes{'):
+                found[name] = float(line.split()[-1])
+    return found
+
+
 async def _load(cell: Cell, case: Case) -> list[tuple[str, float, float]]:
     urls = list(cell.http_urls.values())
     children = [
@@ -145,6 +158,11 @@
         'wait_p99_ms': _quantile_ms(waits, 0.99),
         'core_percent_max': round(max(cores) * 100, 1),
         'core_percent_mean': round(sum(cores) / len(cores) * 100, 1),
+        'peer_bytes_per_s_mean': round(
+            (sum(after.peer_bytes.values()) - sum(before.peer_bytes.values()))
+            / elapsed_s
+            / len(cores),
+        ),
         'resident_mib_max': round(max(resident_mib.values()), 1),
         'store_calls_per_s': {
             kind: round(
--- a/packages/currantreach-daemon/src/currantreach_daemon/_app.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_app.py
@@ -139,6 +139,7 @@
             owners,
             self._store.call_counts,
             self._heartbeat,
+            self._peer_bytes,
         )
 
     def _parts(self) -> list[Coroutine[object, object, None]]:
@@ -226,6 +227,12 @@
             },
         )
 
+    def _peer_bytes(self) -> int:
+        links = (peer.link for peer in self._peers.peers.values())
+        return self._server.total_bytes + sum(
+            link.total_bytes for link in links
+        )
+
     def _make_owner(self, claim: Claim, has_full_consent: bool) -> Owner:
         owner = self._factory.make(claim, has_full_consent)
         asyncio.get_running_loop().call_soon(self._fleet.spread)
--- a/packages/currantreach-daemon/src/currantreach_daemon/_gauges.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_gauges.py
@@ -21,6 +21,7 @@
     owners: Mapping[int, Owner],
     store_calls: Mapping[str, int],
     heartbeat: Callable[[], Heartbeat],
+    peer_bytes: Callable[[], int],
 ) -> None:
     """Register all gauges with the metrics of a daemon."""
     metrics.add_gauge(
@@ -43,6 +44,11 @@
         lambda: {'config': heartbeat().config_age_s},
         'record',
     )
+    metrics.add_gauge(
+        'currantreach_peer_bytes',
+        lambda: {'both': peer_bytes()},
+        'direction',
+    )
     metrics.add_gauge(
         'currantreach_store_calls',
         lambda: dict(store_calls),
--- a/packages/currantreach-links/src/currantreach_links/_frames.py
+++ b/packages/currantreach-links/src/currantreach_links/_frames.py
@@ -59,7 +59,10 @@
 
 
 class FrameCodec:
-    """Turns envelopes into frames with a MAC and back."""
+    """Turns envelopes into frames with a MAC and back.
+
+    :ivar total_bytes: size of all frames sealed and unsealed so far.
+    """
 
     def __init__(self, secret: bytes) -> None:
         """Derive the key from the secret that all daemons share.
@@ -71,12 +74,15 @@
                 'the peer secret is too short; '
                 + f'set one of at least {_MIN_SECRET_BYTES} bytes',
             )
+        self.total_bytes = 0
         self._key = hashlib.blake2b(secret).digest()
 
     def seal(self, envelope: Request | Reply) -> bytes:
         """Encode an envelope and prepend its MAC."""
         packed = encode_packed(envelope)
-        return self._mac(packed, type(envelope)) + packed
+        frame = self._mac(packed, type(envelope)) + packed
+        self.total_bytes += len(frame)
+        return frame
 
     def unseal(self, frame: bytes, kind: type[_Envelope]) -> _Envelope:
         """Check the MAC of a frame and decode its envelope.
@@ -84,6 +90,7 @@
         :raises WrongMacError: if the frame was not sealed with the secret.
         :raises MalformedMessageError: if it is no envelope of this kind.
         """
+        self.total_bytes += len(frame)
         packed = frame[_MAC_BYTES:]
         mac = self._mac(packed, kind)
         if not hmac.compare_digest(mac, frame[:_MAC_BYTES]):
--- a/packages/currantreach-links/src/currantreach_links/_link.py
+++ b/packages/currantreach-links/src/currantreach_links/_link.py
@@ -70,6 +70,11 @@
         self._watcher: asyncio.Task[None] | None = None
         self._quiet_ticks = 0
 
+    @property
+    def total_bytes(self) -> int:
+        """Return the size of all frames sent and received so far."""
+        return self._codec.total_bytes
+
     async def call(
         self,
         method: str,
--- a/packages/currantreach-links/src/currantreach_links/_server.py
+++ b/packages/currantreach-links/src/currantreach_links/_server.py
@@ -80,6 +80,11 @@
             return self._bind_address
         return self._socket.get_string(zmq.LAST_ENDPOINT)
 
+    @property
+    def total_bytes(self) -> int:
+        """Return the size of all frames sent and received so far."""
+        return self._codec.total_bytes
+
     @property
     def rejected_counts(self) -> Mapping[str, int]:
         """Return the number of frames not handled, by reason."""
