Keep heartbeats within the control budget

Cause: every daemon sent a heartbeat with all field names to every peer twice a second: 19,259 B/s for each daemon with 7 peers, over the bound of 4 KB/s. Change: a heartbeat travels as a tuple, one side of a pair sends it, its interval grows with the number of peers, and changes are announced at once.

--- a/packages/currantreach-daemon/src/currantreach_daemon/_app.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_app.py
@@ -165,6 +165,7 @@
         log_event('stopping', daemon=self._settings.daemon_id)
         self._gate.stop()
         self._membership.is_leaving = True
+        self._peers.announce()
         try:
             async with asyncio.timeout(self._settings.stop_timeout_s):
                 await self._drain()
@@ -202,6 +203,7 @@
             if self._keeper.revision != revision:
                 log_event('config_in_force', revision=self._keeper.revision)
                 self._fleet.spread()
+                self._peers.announce_revision()
 
     def _read_config(self) -> ConfigRecord | None:
         return self._keeper.record
@@ -256,9 +258,8 @@
         }
         return PeerTable(
             peers,
+            settings,
             self._keeper,
             self._clock,
             self._heartbeat,
-            settings.heartbeat_interval_s,
-            settings.peer_timeout_s,
         )
--- /dev/null
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_heartbeats.py
@@ -0,0 +1,98 @@
+"""Heartbeats on the wire.
+
+Field names would be two thirds of each heartbeat, so it travels as a tuple.
+"""
+
+from __future__ import annotations
+
+from typing import TypeAlias
+
+import attrs
+
+from currantreach_daemon._messages import Heartbeat, OwnedPartition
+from currantreach_types import Resources
+
+__all__ = ('HeartbeatWire', 'pack_heartbeat', 'unpack_heartbeat')
+
+_MS_PER_S = 1000
+_AGE_LIMIT_MS = 10**9
+
+_Amounts: TypeAlias = tuple[int, int, int, int, int]
+_OwnedWire: TypeAlias = tuple[str, int, int, int, _Amounts, _Amounts]
+
+HeartbeatWire: TypeAlias = tuple[
+    str,
+    str,
+    str,
+    int,
+    int,
+    bool,
+    bool,
+    tuple[_OwnedWire, ...],
+    dict[str, int],
+]
+
+
+def pack_heartbeat(beat: Heartbeat) -> HeartbeatWire:
+    """Return the tuple of a heartbeat."""
+    age_ms = min(beat.config_age_s * _MS_PER_S, _AGE_LIMIT_MS)
+    return (
+        beat.daemon_id,
+        beat.domain,
+        beat.session_id,
+        beat.config_revision,
+        int(age_ms),
+        beat.has_store,
+        beat.is_leaving,
+        tuple(_owned_to_wire(owned) for owned in beat.owned),
+        beat.limits,
+    )
+
+
+def unpack_heartbeat(wire: HeartbeatWire) -> Heartbeat:
+    """Return the heartbeat of a tuple."""
+    (
+        daemon_id,
+        domain,
+        session_id,
+        config_revision,
+        age_ms,
+        has_store,
+        is_leaving,
+        owned,
+        limits,
+    ) = wire
+    return Heartbeat(
+        daemon_id=daemon_id,
+        domain=domain,
+        session_id=session_id,
+        config_revision=config_revision,
+        config_age_s=age_ms / _MS_PER_S,
+        has_store=has_store,
+        is_leaving=is_leaving,
+        owned=tuple(_owned_from_wire(part) for part in owned),
+        limits=limits,
+    )
+
+
+def _owned_to_wire(owned: OwnedPartition) -> _OwnedWire:
+    return (
+        owned.domain,
+        owned.partition,
+        owned.epoch,
+        owned.waiting_count,
+        attrs.astuple(owned.free),
+        attrs.astuple(owned.largest),
+    )
+
+
+def _owned_from_wire(wire: _OwnedWire) -> OwnedPartition:
+    domain, partition, epoch, waiting_count, free, largest = wire
+    return OwnedPartition(
+        domain=domain,
+        partition=partition,
+        epoch=epoch,
+        waiting_count=waiting_count,
+        free=Resources(*free),
+        largest=Resources(*largest),
+    )
--- a/packages/currantreach-daemon/src/currantreach_daemon/_membership.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_membership.py
@@ -273,6 +273,7 @@
         )
         owner = self.make_owner(claim, has_full_consent)
         self.owners[claim.partition] = owner
+        self.peers.announce()
         running = asyncio.create_task(self._run_owner(claim, owner))
         self._owner_tasks[claim.partition] = running
         running.add_done_callback(_log_failure)
@@ -284,6 +285,7 @@
             self._takeover.ended_epochs[claim.partition] = claim.epoch
             if self.owners.get(claim.partition) is owner:
                 self.owners.pop(claim.partition)
+                self.peers.announce()
 
     async def _stop_all_owners(self) -> None:
         for partition in tuple(self.owners):
--- a/packages/currantreach-daemon/src/currantreach_daemon/_peer_api.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_peer_api.py
@@ -5,6 +5,11 @@
 import functools
 from typing import TYPE_CHECKING, TypeVar
 
+from currantreach_daemon._heartbeats import (
+    HeartbeatWire,
+    pack_heartbeat,
+    unpack_heartbeat,
+)
 from currantreach_daemon._messages import (
     CancelMessage,
     ConfigMessage,
@@ -68,7 +73,7 @@
     def handlers(self) -> Mapping[str, Handler]:
         """Return the handlers by the names of their methods."""
         return {
-            'heartbeat': _answering(Heartbeat, self._heartbeat),
+            'heartbeat': _answering(HeartbeatWire, self._heartbeat),
             'issue_id': _answering(IdMessage, self._issue_id),
             'submit': _answering(SubmitMessage, self._submit),
             'wait': _answering(WaitMessage, self._wait),
@@ -81,9 +86,9 @@
             'fetch_config': _answering(ConfigMessage, self._fetch_config),
         }
 
-    async def _heartbeat(self, message: Heartbeat) -> Heartbeat:
-        self._peers.note(message)
-        return self._own_heartbeat()
+    async def _heartbeat(self, message: HeartbeatWire) -> HeartbeatWire:
+        self._peers.note(unpack_heartbeat(message))
+        return pack_heartbeat(self._own_heartbeat())
 
     async def _issue_id(self, message: IdMessage) -> IdReply:
         owner = self._membership.owners.get(message.partition)
--- a/packages/currantreach-daemon/src/currantreach_daemon/_peers.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_peers.py
@@ -3,11 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING
 
 import attrs
 
 from currantreach_config import ConfigRecord
+from currantreach_daemon._heartbeats import (
+    HeartbeatWire,
+    pack_heartbeat,
+    unpack_heartbeat,
+)
 from currantreach_daemon._log import log_detail
 from currantreach_daemon._messages import (
     ConfigMessage,
@@ -22,68 +28,88 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Mapping
 
+    from currantreach_config import DaemonSettings
     from currantreach_state import ConfigKeeper
     from currantreach_types import Clock
 
 __all__ = ('Peer', 'PeerTable')
 
+# A daemon may spend 4 KB a second on control. Heartbeats within the failure
+# domain and those across get a quarter each; the rest is for announcements,
+# promises and retries.
+_BUDGET_BYTES_PER_S = 1000
+_EXCHANGE_BYTES = 400
+_MISSED_EXCHANGES = 3
+_NEVER_S = float('-inf')
+
 
-@attrs.define(slots=True, kw_only=True)
+@attrs.define(slots=True, kw_only=True, eq=False)
 class Peer:
     """A peer and its last heartbeat.
 
     :ivar link: link to the peer.
+    :ivar interval_s: time between two heartbeats.
     :ivar heartbeat: its last heartbeat.
     :ivar heard_s: when the last heartbeat arrived.
     :ivar outage_s: when the question was sent whose answer said that the
         peer has no store contact, 0 if it has.
+    :ivar changed: set when the peer should hear from this daemon at once.
     """
 
     peer_id: str
     domain: str
     link: PeerLink
+    interval_s: float = 0
     heartbeat: Heartbeat | None = None
-    heard_s: float = float('-inf')
+    heard_s: float = _NEVER_S
     outage_s: float = 0
+    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
 
 class PeerTable:
     """All peers of this daemon.
 
+    One heartbeat serves both sides of a pair, so only the daemon with the
+    smaller id sends it while all is well.
+
     :param own_heartbeat: returns the heartbeat of this daemon.
-    :param interval_s: time between heartbeats.
-    :param timeout_s: a peer that was silent for so long is unreachable.
     """
 
     def __init__(
         self,
         peers: Mapping[str, Peer],
+        settings: DaemonSettings,
         keeper: ConfigKeeper,
         clock: Clock,
         own_heartbeat: Callable[[], Heartbeat],
-        interval_s: float,
-        timeout_s: float,
     ) -> None:
         """Start without any heartbeat."""
         self.peers = peers
+        self._settings = settings
         self._keeper = keeper
         self._clock = clock
         self._own_heartbeat = own_heartbeat
-        self._interval_s = interval_s
-        self._timeout_s = timeout_s
+        self._set_intervals()
 
     async def follow(self, peer: Peer) -> None:
         """Exchange heartbeats with one peer for ever."""
         while True:
-            try:
-                await self._exchange(peer)
-            except (LinkError, MalformedMessageError) as exc:
-                log_detail(
-                    'heartbeat_failed',
-                    peer=peer.peer_id,
-                    error=exc,
-                )
-            await asyncio.sleep(self._interval_s)
+            if self._is_due(peer):
+                peer.changed.clear()
+                await self._try_exchange(peer)
+            await self._pause(peer)
+
+    def announce(self) -> None:
+        """Tell all peers of a change at once."""
+        for peer in self.peers.values():
+            peer.changed.set()
+
+    def announce_revision(self) -> None:
+        """Tell those peers that are not known to have the configuration."""
+        for peer in self.peers.values():
+            beat = peer.heartbeat
+            if beat is None or beat.config_revision < self._keeper.revision:
+                peer.changed.set()
 
     def note(self, heartbeat: Heartbeat) -> None:
         """Note a heartbeat that a peer sent by itself."""
@@ -94,9 +120,11 @@
 
     def reachable(self) -> tuple[Peer, ...]:
         """Return the peers that were heard lately."""
-        since_s = self._clock.now_s() - self._timeout_s
+        now_s = self._clock.now_s()
         return tuple(
-            peer for peer in self.peers.values() if peer.heard_s >= since_s
+            peer
+            for peer in self.peers.values()
+            if now_s - peer.heard_s <= self._silence_s(peer)
         )
 
     def owners(self) -> Iterator[tuple[Peer, OwnedPartition]]:
@@ -116,14 +144,56 @@
                 found = (owned.epoch, peer)
         return None if found is None else found[1]
 
+    def _set_intervals(self) -> None:
+        domain = self._settings.failure_domain
+        local_count = sum(peer.domain == domain for peer in self.peers.values())
+        for peer in self.peers.values():
+            count = local_count
+            if peer.domain != domain:
+                count = len(self.peers) - local_count
+            peer.interval_s = max(
+                self._settings.heartbeat_interval_s,
+                count * _EXCHANGE_BYTES / _BUDGET_BYTES_PER_S,
+            )
+
+    def _silence_s(self, peer: Peer) -> float:
+        return max(
+            self._settings.peer_timeout_s,
+            _MISSED_EXCHANGES * peer.interval_s,
+        )
+
+    def _is_due(self, peer: Peer) -> bool:
+        if peer.changed.is_set() or not self._own_heartbeat().has_store:
+            return True
+        is_first = self._settings.daemon_id < peer.peer_id
+        quiet_s = self._clock.now_s() - peer.heard_s
+        return is_first or quiet_s > 2 * peer.interval_s
+
+    async def _pause(self, peer: Peer) -> None:
+        pause_s = peer.interval_s
+        if not self._own_heartbeat().has_store:
+            # Without the store, freshness depends on the peers.
+            pause_s = self._settings.heartbeat_interval_s
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause_s):
+                await peer.changed.wait()
+
+    async def _try_exchange(self, peer: Peer) -> None:
+        try:
+            await self._exchange(peer)
+        except (LinkError, MalformedMessageError) as exc:
+            peer.heard_s = _NEVER_S
+            log_detail('heartbeat_failed', peer=peer.peer_id, error=exc)
+
     async def _exchange(self, peer: Peer) -> None:
         sent_s = self._clock.now_s()
-        reply = await peer.link.call(
+        wire = await peer.link.call(
             'heartbeat',
-            self._own_heartbeat(),
-            Heartbeat,
-            self._timeout_s,
+            pack_heartbeat(self._own_heartbeat()),
+            HeartbeatWire,
+            self._settings.peer_timeout_s,
         )
+        reply = unpack_heartbeat(wire)
         self.note(reply)
         peer.outage_s = 0 if reply.has_store else sent_s
         if reply.config_revision > self._keeper.revision:
@@ -155,7 +225,7 @@
             'fetch_config',
             ConfigMessage(revision=self._keeper.revision),
             TextReply,
-            self._timeout_s,
+            self._settings.peer_timeout_s,
         )
         if reply.text:
             self._keeper.offer(decode_json(reply.text, ConfigRecord))
