Void all claims when a session is closed

Cause: after close() the session kept its id, so a daemon whose claim was written while it left the domain could believe in that claim while its successor took it. Change: close() clears the session id and take() needs an open session. The state machine pauses daemons in the middle of a call and cuts them off, and tests state each guard of sessions, roster, claims and promises on its own.

--- a/packages/currantreach-state/src/currantreach_state/_claims.py
+++ b/packages/currantreach-state/src/currantreach_state/_claims.py
@@ -10,6 +10,7 @@
     ConflictError,
     LostAnswerError,
     PlatformError,
+    StaleEpochError,
 )
 
 from currantreach_state._session import is_session_gone
@@ -99,8 +100,12 @@
             handed to this daemon or a handing over failed, because the write
             of the handing over may still be on its way.
         :raises ConflictError: if the partition is or was just claimed.
+        :raises StaleEpochError: if the session of this daemon is closed.
         :raises PlatformError: if the outcome is not known; read it again.
         """
+        session_id = self._session.session_id
+        if not session_id:
+            raise StaleEpochError('the session is closed; open it first')
         if seen is not None:
             if not await self.is_released(seen):
                 raise ConflictError(
@@ -111,7 +116,7 @@
             domain=self._domain,
             partition=partition,
             owner=self._daemon_id,
-            session_id=self._session.session_id,
+            session_id=session_id,
             epoch=1 if seen is None else seen.epoch + 1,
         )
         return await self._write(wanted, 0 if seen is None else seen.revision)
--- a/packages/currantreach-state/src/currantreach_state/_session.py
+++ b/packages/currantreach-state/src/currantreach_state/_session.py
@@ -44,7 +44,7 @@
     member record of its predecessor without waiting for its lease. The
     address that each daemon binds must therefore be part of its id.
 
-    :ivar session_id: random id of the session, empty before it is opened.
+    :ivar session_id: random id of the session, empty while it is closed.
     :ivar deadline_s: time up to which the lease certainly exists.
     """
 
@@ -109,7 +109,12 @@
         return True
 
     async def close(self) -> None:
-        """End the session; without the store it expires on its own."""
+        """End the session; without the store it expires on its own.
+
+        All claims of the session are void from now on, including those whose
+        writes are still on their way.
+        """
+        self.session_id = ''
         self.deadline_s = -math.inf
         lease_id = self._lease_id
         self._lease_id = ''
--- a/packages/currantreach-state/tests/test_promises.py
+++ b/packages/currantreach-state/tests/test_promises.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import pytest
 from currantreach_state import (
     ClaimKeeper,
+    Consent,
     PromiseBook,
     PromiseRun,
     Roster,
@@ -26,6 +28,7 @@
 DOMAIN = 'north-1'
 DAEMONS = ('a', 'b', 'c')
 LIMIT_S = 20
+ACTIVITIES = ('renew', 'renew', 'take', 'take', 'hand_over', 'prune', 'leave')
 FAULTS = (None, None, None, 'down', 'lost', 'late')
 
 
@@ -140,13 +143,13 @@
         for daemon_id in DAEMONS[:count]:
             self.boot(daemon_id)
         self.complete('a', 'take')
-        self.pass_time(4, without_store='', silent='', takers='')
+        self.pass_time(4, '', '', '', '')
 
     @rule(daemon_id=st.sampled_from(DAEMONS))
     def boot(self, daemon_id):
         """Start a process, in place of a running one of the same id."""
         self.processes[daemon_id] = Process(self, daemon_id)
-        self.begin(daemon_id, 'renew')
+        self._begin(daemon_id, 'renew')
         self.finish(daemon_id)
 
     @rule(daemon_id=st.sampled_from(DAEMONS))
@@ -154,30 +157,37 @@
         self.processes.pop(daemon_id, None)
 
     @rule(
-        daemon_id=st.sampled_from(DAEMONS),
-        name=st.sampled_from(
-            ('renew', 'renew', 'take', 'take', 'hand_over', 'prune', 'leave')
-        ),
+        victim=st.sampled_from('aaabc'),
+        name=st.sampled_from(ACTIVITIES),
+        step_count=st.integers(0, 9),
+        fault=st.sampled_from(FAULTS),
+        seconds=st.sampled_from((1, 2, 3, 4, 4, 5, 6)),
+        cut_off=st.sampled_from(('silent', 'silent', 'storeless', 'killed')),
+        takers=st.sampled_from(('b', 'c', 'bc', 'ab')),
     )
-    def begin(self, daemon_id, name):
-        process = self.processes.get(daemon_id)
-        if process is None or process.steps is not None:
-            return
-        if process.book is not None or name == 'renew':
-            process.steps = getattr(process, name)()
-            self.step(daemon_id, None)
+    def incident(
+        self, victim, name, step_count, fault, seconds, cut_off, takers
+    ):
+        """Cut a daemon off in the middle of something, and let it resume."""
+        self.finish(victim)
+        self._begin(victim, name)
+        while step_count:
+            step_count -= 1
+            self.step(victim, None if step_count else fault)
+        if cut_off == 'killed':
+            self.kill(victim)
+        silent = victim if cut_off == 'silent' else ''
+        self.pass_time(seconds, victim, silent, victim, takers)
+        self.finish(victim)
 
     @rule(daemon_id=st.sampled_from(DAEMONS), fault=st.sampled_from(FAULTS))
     def step(self, daemon_id, fault):
         process = self.processes.get(daemon_id)
         if process is None or process.steps is None:
             return
-        is_started = process.steps.cr_suspended
         try:
-            process.steps.send(fault if is_started else None)
-        except StopIteration:
-            process.steps = None
-        except PlatformError:
+            process.steps.send(fault)
+        except (StopIteration, PlatformError):
             process.steps = None
 
     @rule(daemon_id=st.sampled_from(DAEMONS))
@@ -188,70 +198,41 @@
 
     @rule(
         daemon_id=st.sampled_from(DAEMONS),
-        name=st.sampled_from(('renew', 'take', 'prune')),
+        name=st.sampled_from(ACTIVITIES),
     )
     def complete(self, daemon_id, name):
         """Do something from start to end without a fault."""
         self.finish(daemon_id)
-        self.begin(daemon_id, name)
+        self._begin(daemon_id, name)
         self.finish(daemon_id)
 
-    @rule(step_s=st.sampled_from((0.5, 1, 3)))
-    def advance(self, step_s):
-        self.clock.advance(step_s)
-
     @rule(
-        seconds=st.integers(1, 6),
-        without_store=st.sampled_from(('', 'a', 'b', 'ab', 'abc')),
-        silent=st.sampled_from(('', 'a', 'b', 'bc')),
+        seconds=st.sampled_from((0.5, 1, 2, 3, 4, 5, 6)),
+        without_store=st.sampled_from(('', 'a', 'a', 'b', 'ab', 'abc')),
+        silent=st.sampled_from(('', '', 'a', 'b', 'bc')),
+        delayed=st.sampled_from(('', '', 'a', 'b')),
         takers=st.sampled_from(('', 'a', 'b', 'c', 'bc')),
     )
-    def pass_time(self, seconds, without_store, silent, takers):
-        """Let daemons do once a second what they do in normal operation."""
-        while seconds:
+    def pass_time(self, seconds, without_store, silent, delayed, takers):
+        """Let daemons do once a second what they do in normal operation.
+
+        Silent daemons do nothing, and replies to delayed ones are kept.
+        """
+        while seconds > 0:
+            for daemon_id in sorted(set(DAEMONS) - set(silent)):
+                self._live(daemon_id, without_store, delayed, takers)
+            self.clock.advance(min(1, seconds))
             seconds -= 1
-            for daemon_id in DAEMONS:
-                if daemon_id not in silent:
-                    self._live(
-                        daemon_id,
-                        has_store=daemon_id not in without_store,
-                        is_taker=daemon_id in takers,
-                    )
-            self.clock.advance(1)
             self.has_one_owner()
 
-    @rule(daemon_id=st.sampled_from(DAEMONS))
-    def ask(self, daemon_id):
-        """Ask all required peers for promises."""
-        process = self.processes.get(daemon_id)
-        if process is None:
-            return
-        number = process.run.begin_round(self.clock.now_s())
-        self.messages += [
-            (self._give, process, process.session.session_id, number, peer_id)
-            for peer_id in sorted(process.run.required)
-        ]
-
-    @rule(daemon_id=st.sampled_from(DAEMONS))
-    def exchange(self, daemon_id):
-        """Ask for promises and receive all of them at once."""
-        kept = self.messages
-        self.messages = []
-        self.ask(daemon_id)
-        while self.messages:
-            self.deliver(0)
-        self.messages = kept
-
     @precondition(lambda machine: machine.messages)
-    @rule(index=st.integers(0, 5))
-    def deliver(self, index):
-        handle, *message = self.messages.pop(index % len(self.messages))
-        handle(*message)
-
-    @precondition(lambda machine: machine.messages)
-    @rule(index=st.integers(0, 5))
-    def drop(self, index):
-        self.messages.pop(index % len(self.messages))
+    @rule(count=st.integers(1, 4))
+    def deliver(self, count):
+        """Deliver the latest messages, and lose the others."""
+        messages = self.messages[-count:]
+        self.messages = []
+        for handle, *message in messages:
+            handle(*message)
 
     @precondition(lambda machine: machine.store.late)
     @rule()
@@ -272,23 +253,43 @@
             if process.steps is not None:
                 process.steps.close()
 
-    def _live(self, daemon_id, *, has_store, is_taker):
+    def _begin(self, daemon_id, name):
+        process = self.processes.get(daemon_id)
+        if process is not None and (process.book or name == 'renew'):
+            process.steps = getattr(process, name)()
+            self.step(daemon_id, None)
+
+    def _live(self, daemon_id, without_store, delayed, takers):
+        has_store = daemon_id not in without_store
         if has_store:
             self.complete(daemon_id, 'renew')
-        self.exchange(daemon_id)
-        if has_store and is_taker:
+        self._exchange(daemon_id, is_delayed=daemon_id in delayed)
+        if has_store and daemon_id in takers:
             self.complete(daemon_id, 'take')
-        self.has_one_owner()
 
-    def _give(self, asker, holder, number, peer_id):
+    def _exchange(self, daemon_id, *, is_delayed):
+        process = self.processes.get(daemon_id)
+        if process is None:
+            return
+        number = process.run.begin_round(self.clock.now_s())
+        replies = []
+        for peer_id in sorted(process.run.required):
+            replies.extend(self._give(process, number, peer_id))
+        if is_delayed:
+            self.messages += replies
+            return
+        for handle, *message in replies:
+            handle(*message)
+
+    def _give(self, asker, number, peer_id):
         peer = self.processes.get(peer_id)
-        revision = asker.run.roster_revision
-        if peer is not None and peer.book is not None:
-            if peer.book.give(holder, 3, revision):
-                view = (peer.peers | {peer_id}) - {asker.daemon_id}
-                self.messages.append(
-                    (self._record, asker, holder, number, peer_id, view)
-                )
+        if peer is None or peer.book is None:
+            return []
+        holder = asker.session.session_id
+        if not peer.book.give(holder, 3, asker.run.roster_revision):
+            return []
+        view = (peer.peers | {peer_id}) - {asker.daemon_id}
+        return [(self._record, asker, holder, number, peer_id, view)]
 
     def _record(self, asker, holder, number, peer_id, view):
         if asker.session.session_id == holder:
@@ -300,11 +301,84 @@
     run_state_machine_as_test(
         lambda: Ownership(new_store, pausing),
         settings=settings(
-            max_examples=400,
-            stateful_step_count=60,
+            max_examples=600,
+            stateful_step_count=30,
             deadline=None,
             derandomize=True,
             database=None,
             suppress_health_check=list(HealthCheck),
         ),
     )
+
+
+@pytest.fixture
+def promise_run(clock):
+    """Return a run that was renewed and needs ``b``."""
+    promises = PromiseRun(clock, LIMIT_S)
+    promises.note_renewal(100, 103.5, {'b'}, roster_revision=5)
+    return promises
+
+
+def test_promises_count_from_their_own_round(promise_run, clock):
+    """Guard against a promise taken to last longer than its giver thinks."""
+    first = promise_run.begin_round(100)
+    assert promise_run.deadline_s() is None
+    clock.advance(2)
+    promise_run.begin_round(102)
+    promise_run.record(first, 'b', 3, {'b'})
+    assert promise_run.deadline_s() == pytest.approx(102.5)
+    third = promise_run.begin_round(102)
+    promise_run.record(third, 'b', 3, {'b', 'c'})
+    assert promise_run.deadline_s() is None
+    promise_run.record(third, 'c', 2, {'b', 'c'})
+    assert promise_run.deadline_s() == pytest.approx(103.5)
+    promise_run.record(third, 'c', 3000, {'b', 'c'})
+    promise_run.record(third, 'b', 3000, {'b', 'c'})
+    assert promise_run.deadline_s() == 100 + LIMIT_S
+
+
+def test_lapse_is_final_until_renewal(promise_run, clock):
+    """Guard against a holder that resumes after its successor took over."""
+    clock.advance(4)
+    number = promise_run.begin_round(104)
+    promise_run.record(number, 'b', 3)
+    assert promise_run.deadline_s() is None
+    promise_run.note_renewal(100, 103.9, set(), roster_revision=6)
+    assert promise_run.deadline_s() is None
+    assert promise_run.required == {'b'}
+    promise_run.note_renewal(104, 107.5, {'b'}, roster_revision=6)
+    assert promise_run.valid_until_s() == pytest.approx(107.5)
+
+
+def test_consents(clock):
+    """Guard against a consent while an earlier promise may be outstanding."""
+    book = PromiseBook(clock, absent_revision=5)
+    assert not book.consent('s').is_given
+    clock.advance(3)
+    assert book.give('early', 3, 5)
+    assert book.give('s', 3, 6)
+    assert not book.give('s', 3.1, 6)
+    clock.advance(2.9)
+    assert not book.consent('s').is_given
+    clock.advance(0.2)
+    assert book.consent('s') == Consent(is_given=True, was_asked=True)
+    assert book.consent('early') == Consent(is_given=True, was_asked=False)
+    assert not book.give('s', 3, 6)
+    book.close()
+    assert not book.consent('s').is_given
+
+
+def test_takeover_rule(clock):
+    """Guard against a takeover that no daemon needed by the holder allows."""
+    takeover = TakeoverRule(clock, LIMIT_S)
+    asked = Consent(is_given=True, was_asked=True)
+    unasked = Consent(is_given=True, was_asked=False)
+    withheld = Consent(is_given=False, was_asked=False)
+    assert not takeover.allows('s', [asked], is_fenced=True)
+    takeover.note_gone('s')
+    assert takeover.allows('s', [asked, unasked], is_fenced=False)
+    assert takeover.allows('s', [unasked], is_fenced=True)
+    assert not takeover.allows('s', [unasked], is_fenced=False)
+    assert not takeover.allows('s', [asked, withheld], is_fenced=True)
+    clock.advance(LIMIT_S)
+    assert takeover.allows('s', [unasked], is_fenced=False)
