--- a/packages/currantreach-daemon/src/currantreach_daemon/_heartbeats.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_heartbeats.py
@@ -5,14 +5,19 @@
 
 from __future__ import annotations
 
-from typing import TypeAlias
+from typing import TypeAlias, cast
 
 import attrs
 
 from currantreach_daemon._messages import Heartbeat, OwnedPartition
 from currantreach_types import Resources
 
-__all__ = ('HeartbeatWire', 'pack_heartbeat', 'unpack_heartbeat')
+__all__ = (
+    'HEARTBEAT_WIRE',
+    'HeartbeatWire',
+    'pack_heartbeat',
+    'unpack_heartbeat',
+)
 
 _MS_PER_S = 1000
 _AGE_LIMIT_MS = 10**9
@@ -32,6 +37,9 @@
     dict[str, int],
 ]
 
+# The codec takes types; a parametrised tuple is one only at run time.
+HEARTBEAT_WIRE = cast('type[HeartbeatWire]', HeartbeatWire)
+
 
 def pack_heartbeat(beat: Heartbeat) -> HeartbeatWire:
     """Return the tuple of a heartbeat."""
--- a/packages/currantreach-daemon/src/currantreach_daemon/_membership.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_membership.py
@@ -282,7 +282,6 @@
         try:
             await owner.run()
         finally:
-            self._takeover.ended_epochs[claim.partition] = claim.epoch
             if self.owners.get(claim.partition) is owner:
                 self.owners.pop(claim.partition)
                 self.peers.announce()
--- a/packages/currantreach-daemon/src/currantreach_daemon/_peer_api.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_peer_api.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, TypeVar
 
 from currantreach_daemon._heartbeats import (
+    HEARTBEAT_WIRE,
     HeartbeatWire,
     pack_heartbeat,
     unpack_heartbeat,
@@ -73,7 +74,7 @@
     def handlers(self) -> Mapping[str, Handler]:
         """Return the handlers by the names of their methods."""
         return {
-            'heartbeat': _answering(HeartbeatWire, self._heartbeat),
+            'heartbeat': _answering(HEARTBEAT_WIRE, self._heartbeat),
             'issue_id': _answering(IdMessage, self._issue_id),
             'submit': _answering(SubmitMessage, self._submit),
             'wait': _answering(WaitMessage, self._wait),
--- a/packages/currantreach-daemon/src/currantreach_daemon/_peers.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_peers.py
@@ -10,7 +10,7 @@
 
 from currantreach_config import ConfigRecord
 from currantreach_daemon._heartbeats import (
-    HeartbeatWire,
+    HEARTBEAT_WIRE,
     pack_heartbeat,
     unpack_heartbeat,
 )
@@ -190,7 +190,7 @@
         wire = await peer.link.call(
             'heartbeat',
             pack_heartbeat(self._own_heartbeat()),
-            HeartbeatWire,
+            HEARTBEAT_WIRE,
             self._settings.peer_timeout_s,
         )
         reply = unpack_heartbeat(wire)
--- a/packages/currantreach-daemon/src/currantreach_daemon/_takeover.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_takeover.py
@@ -25,7 +25,8 @@
 class Takeover:
     """Takes claims that nobody holds.
 
-    :ivar ended_epochs: last epoch of each partition whose owner ended here.
+    Each claim has a new epoch, since only the owner that issued a request id
+    knows what became of it.
     """
 
     def __init__(
@@ -40,7 +41,6 @@
 
         :param consent: answers for this daemon.
         """
-        self.ended_epochs: dict[int, int] = {}
         self._settings = settings
         self._claims = claims
         self._roster = roster
@@ -61,14 +61,15 @@
         :raises PlatformError: if the outcome is not known.
         """
         seen = await self._claims.read(partition)
-        if seen is not None and self._claims.is_current(seen):
-            return await self._resume(seen), True
-        if seen is not None and not await self._claims.is_released(seen):
-            return None
-        if preferred_id != self._settings.daemon_id:
+        own_id = self._settings.daemon_id
+        if seen is not None and seen.owner == own_id:
+            return await self._claims.take(partition, seen), True
+        if preferred_id != own_id:
             return None
-        if seen is None or seen.owner == self._settings.daemon_id:
+        if seen is None:
             return await self._claims.take(partition, seen), True
+        if not await self._claims.is_released(seen):
+            return None
         return await self._take_over(seen, local)
 
     async def _take_over(
@@ -86,17 +87,6 @@
             return None
         return await self._claims.take(seen.partition, seen), is_complete
 
-    async def _resume(self, claim: Claim) -> Claim:
-        if self.ended_epochs.get(claim.partition) != claim.epoch:
-            return claim
-        # Ids of an epoch are only known to the owner that issued them, so an
-        # owner that ended is followed by one with a higher epoch.
-        return await self._claims.hand_over(
-            claim,
-            self._settings.daemon_id,
-            claim.session_id,
-        )
-
     async def _consents(
         self,
         seen: Claim,
