--- a/packages/currantreach-daemon/src/currantreach_daemon/_endings.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_endings.py
@@ -38,6 +38,7 @@
         self._state = state
         self._retiring: collections.defaultdict[str, list[str]]
         self._retiring = collections.defaultdict(list)
+        self._pending: set[tuple[str, str]] = set()
         self._kept: collections.deque[tuple[float, str, str]]
         self._kept = collections.deque()
 
@@ -61,6 +62,13 @@
             attrs.evolve(entry.answer, state=state, reason=reason),
         )
 
+    def resume(self, entry: RequestEntry) -> None:
+        """Go on with an end that waited for the recording of its request."""
+        answer = entry.pending_end
+        entry.pending_end = None
+        if answer is not None:
+            self._settle_end(entry, answer)
+
     def finish_if_complete(self, entry: RequestEntry) -> None:
         """Finish a request once all its tasks have."""
         size = entry.spec.gang_size
@@ -84,6 +92,9 @@
         Durable outputs stay until they are recorded, prompt ones for longer
         than a takeover takes.
         """
+        if (worker, task.task_id) in self._pending:
+            return
+        self._pending.add((worker, task.task_id))
         if entry.is_durable:
             self._state.spawn(
                 self._retire_recorded(entry, worker, task.task_id),
@@ -94,7 +105,8 @@
 
     def retire_task(self, worker: str, task_id: str) -> None:
         """Let the worker forget a task in the next round."""
-        self._retiring[worker].append(task_id)
+        if (worker, task_id) not in self._pending:
+            self._retiring[worker].append(task_id)
 
     def end_stray(
         self,
@@ -108,7 +120,7 @@
             if link is not None:
                 self._state.spawn(link.stop((task.task_id,)))
         else:
-            self._state.give_back(task.task_id, TaskEnd.finished)
+            self._end_placed(entry, worker, task.task_id)
             if entry is not None and not entry.ended.is_set():
                 self.retire_later(entry, worker, task)
             else:
@@ -129,10 +141,24 @@
                         self._state.append(entry, RecordKind.retired)
                     )
 
+    def _end_placed(
+        self,
+        entry: RequestEntry | None,
+        worker: str,
+        ended_id: str,
+    ) -> None:
+        """Free the room of a task, unless it runs on another worker now."""
+        if entry is not None and not entry.ended.is_set():
+            if entry.workers.get(ended_id) != worker:
+                return
+            entry.workers.pop(ended_id)
+        self._state.give_back(ended_id, TaskEnd.finished)
+
     def _retire_kept(self) -> None:
         now_s = self._state.now_s()
         while self._kept and self._kept[0][0] <= now_s:
             _due_s, worker, ended_id = self._kept.popleft()
+            self._pending.discard((worker, ended_id))
             self.retire_task(worker, ended_id)
 
     async def _retire_on_workers(self) -> None:
@@ -151,6 +177,13 @@
         if entry.is_closing:
             return
         entry.is_closing = True
+        if entry.is_recording:
+            # A successor would run what the journal turns out to hold.
+            entry.pending_end = answer
+        else:
+            self._settle_end(entry, answer)
+
+    def _settle_end(self, entry: RequestEntry, answer: Answer) -> None:
         if entry.is_durable and entry.is_recorded:
             entry.answer = attrs.evolve(answer, state=entry.answer.state)
             self._state.spawn(self._record_end(entry, answer))
@@ -192,7 +225,8 @@
         ended_id: str,
     ) -> None:
         await entry.ended.wait()
-        self._retiring[worker].append(ended_id)
+        self._pending.discard((worker, ended_id))
+        self.retire_task(worker, ended_id)
 
 
 def _rounded(duration_s: float | None) -> str:
--- a/packages/currantreach-daemon/src/currantreach_daemon/_owner.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_owner.py
@@ -9,7 +9,7 @@
 from currantreach_daemon._messages import OwnedPartition
 from currantreach_daemon._owner_state import OwnerState
 from currantreach_daemon._recovery import Recovery
-from currantreach_daemon._requests import not_run_answer
+from currantreach_daemon._requests import issue_request_id, not_run_answer
 from currantreach_daemon._starts import Starts
 from currantreach_daemon._task_events import TaskEvents
 from currantreach_daemon._worker_set import WorkerSet
@@ -18,7 +18,6 @@
     RequestId,
     RequestState,
     Resources,
-    new_request_id,
     refusals,
 )
 from currantreach_types.errors import (
@@ -35,7 +34,7 @@
     from currantreach_daemon._requests import RequestEntry
     from currantreach_decisions import Decisions
     from currantreach_state import Claim, JournalRecord
-    from currantreach_types import TaskSpec
+    from currantreach_types import Refusal, TaskSpec
 
 __all__ = ('Owner',)
 
@@ -77,10 +76,8 @@
 
     async def run(self) -> None:
         """Serve the partition until the claim is lost."""
-        for record in await self._open_journal():
-            self._recovery.add_record(record)
-        self._is_recorded.set()
         try:
+            await self._recover()
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._decide_rounds())
                 group.create_task(self._endings.retire_rounds())
@@ -97,11 +94,11 @@
         """Stop all links and leave the tasks to the successor."""
         await self.workers.close()
         await self._state.cancel_background()
+        await self._tools.journal.close()
 
     def issue_id(self) -> str:
         """Return a new request id of this partition."""
-        claim = self.claim
-        return str(new_request_id(claim.domain, claim.partition, claim.epoch))
+        return issue_request_id(self.claim, self._state.now_s())
 
     def waiting_count(self) -> int:
         """Return the number of waiting requests."""
@@ -114,19 +111,21 @@
             if known.body_hash != body_hash:
                 return not_run_answer(spec.request_id, refusals.ID_REUSED)
             return known.answer
+        if self._may_have_run(spec.request_id):
+            return self._unknown_answer(spec.request_id)
         if not (self._is_recorded.is_set() and self.has_limits.is_set()):
             return not_run_answer(spec.request_id, refusals.NO_OWNER)
-        if RequestId.parse(spec.request_id).epoch != self.claim.epoch:
-            return self._unknown_answer(spec.request_id)
         entry = self._state.new_entry(spec, body_hash)
-        refusal = self._tools.scheduler.submit(spec, self._tools.clock.now_s())
+        refusal = self._queue(spec)
+        self._state.table.add(entry)
         if refusal is not None:
-            self._state.table.add(entry)
             self._endings.refuse(entry, refusal)
             return entry.answer
-        self._state.table.add(entry)
+        self._starts.note_request(entry)
         if entry.is_durable:
-            await self._starts.record_accepted(entry)
+            recording = self._starts.record_accepted(entry)
+            # The caller may go away; the record must not stay half-made.
+            await asyncio.shield(self._state.spawn(recording))
         self._state.wakeup.set()
         return entry.answer
 
@@ -193,12 +192,16 @@
 
     def shed(self, team: str, excess: Resources) -> None:
         """Free at least ``excess`` of a team's room, latest starts first."""
+        running = [
+            entry
+            for entry in self._state.table
+            if entry.workers and entry.spec.team == team
+        ]
+        # Repeatable work goes on later, unrepeatable work is lost.
+        running.sort(key=lambda entry: not entry.spec.is_unrepeatable)
         left = excess
-        for entry in reversed(tuple(self._state.table)):
-            if not (left.slot_count > 0 or left.cpu_milli > 0):
-                return
-            if entry.spec.team != team or not entry.workers:
-                continue
+        while running and not left.fits_in(Resources()):
+            entry = running.pop()
             for running_id, worker in entry.workers.items():
                 self.preempt(worker, (running_id,))
                 left -= entry.spec.resources
@@ -231,6 +234,13 @@
         """Return the number of prompt requests that have not ended."""
         return self._state.table.open_prompt_count()
 
+    async def _recover(self) -> None:
+        for record in await self._open_journal():
+            self._recovery.add_record(record)
+        self._is_recorded.set()
+        # Tasks that the journal explains would be stopped as strays before.
+        self.workers.open()
+
     async def _open_journal(self) -> tuple[JournalRecord, ...]:
         while True:
             try:
@@ -265,6 +275,17 @@
         for preemption in decisions.preemptions:
             self.preempt(preemption.worker, (preemption.task_id,))
 
+    def _queue(self, spec: TaskSpec) -> Refusal | None:
+        if not self._state.table.has_room(spec):
+            return refusals.QUEUE_FULL
+        return self._tools.scheduler.submit(spec, self._state.now_s())
+
+    def _may_have_run(self, request_id: str) -> bool:
+        """Tell whether an id without an entry may have been run before."""
+        if RequestId.parse(request_id).epoch != self.claim.epoch:
+            return True
+        return self._state.table.may_be_forgotten(request_id)
+
     def _visible_entry(self, request_id: str, team: str) -> RequestEntry | None:
         entry = self._state.table.get(request_id)
         if entry is None or (team and entry.spec.team != team):
@@ -272,7 +293,11 @@
         return entry
 
     def _unknown_answer(self, request_id: str) -> Answer:
-        is_settled = self._recovery.finished.is_set()
+        # A higher epoch is known to a successor of this owner only.
+        is_settled = (
+            self._state.recovered.is_set()
+            and RequestId.parse(request_id).epoch <= self.claim.epoch
+        )
         return Answer(
             request_id=request_id,
             state=RequestState.unknown,
--- a/packages/currantreach-daemon/src/currantreach_daemon/_owner_factory.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_owner_factory.py
@@ -87,6 +87,7 @@
             task_lease_s=settings.task_lease_s,
             result_retention_s=limits.result_retention_s,
             unadopted_wait_s=unadopted_wait_s,
+            retry_budget_ratio=limits.retry_budget_ratio,
         )
 
     def _partition_keys(self) -> list[str]:
--- a/packages/currantreach-daemon/src/currantreach_daemon/_owner_state.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_owner_state.py
@@ -54,6 +54,7 @@
     task_lease_s: float
     result_retention_s: float
     unadopted_wait_s: float
+    retry_budget_ratio: float = 0.2
 
 
 class OwnerState:
@@ -61,6 +62,7 @@
 
     :ivar lost: set once another daemon owns the partition.
     :ivar has_limits: set once the team limits are known.
+    :ivar recovered: set once requests that run nowhere were queued again.
     :ivar wakeup: set when a round of decisions can change something.
     :ivar links: link to each worker.
     :ivar hosts: host list entry of each worker.
@@ -73,6 +75,7 @@
         self.tools = tools
         self.lost = asyncio.Event()
         self.has_limits = asyncio.Event()
+        self.recovered = asyncio.Event()
         self.wakeup = asyncio.Event()
         self.table = RequestTable(_ENDED_LIMIT)
         self.links: dict[str, WorkerLink] = {}
@@ -94,11 +97,15 @@
             **fields,
         )
 
-    def spawn(self, work: Coroutine[object, object, None]) -> None:
+    def spawn(
+        self,
+        work: Coroutine[object, object, None],
+    ) -> asyncio.Task[None]:
         """Run work in the background; platform errors are logged."""
         running = asyncio.create_task(_guarded(work))
         self._background.add(running)
         running.add_done_callback(self._background.discard)
+        return running
 
     async def cancel_background(self) -> None:
         """Stop all background work."""
@@ -122,16 +129,28 @@
                 self.spawn(link.stop(tuple(ids)))
 
     def new_entry(self, spec: TaskSpec, body_hash: str) -> RequestEntry:
-        """Return an entry for a request that was just accepted."""
+        """Return an entry for a request that was just accepted.
+
+        Durable work is not promised to the caller before it is recorded.
+        """
+        is_durable = spec.policy != PolicyKind.prompt
+        answer = Answer(
+            request_id=spec.request_id,
+            state=RequestState.accepted,
+        )
+        if is_durable:
+            answer = attrs.evolve(
+                answer,
+                state=RequestState.unknown,
+                reason='not_recorded_yet',
+                can_retry=True,
+            )
         return RequestEntry(
             spec=spec,
             body_hash=body_hash,
             submitted_s=self.now_s(),
-            answer=Answer(
-                request_id=spec.request_id,
-                state=RequestState.accepted,
-            ),
-            is_durable=spec.policy != PolicyKind.prompt,
+            answer=answer,
+            is_durable=is_durable,
         )
 
     async def append(
--- a/packages/currantreach-daemon/src/currantreach_daemon/_recovery.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_recovery.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import attrs
+
 from currantreach_daemon._requests import StartIntent, body_hash_of
 from currantreach_decisions import Placement
 from currantreach_state import RecordKind
@@ -31,10 +33,7 @@
 
 
 class Recovery:
-    """Finds out what the predecessor left behind.
-
-    :ivar finished: set once requests that run nowhere were queued again.
-    """
+    """Finds out what the predecessor left behind."""
 
     def __init__(
         self,
@@ -43,7 +42,6 @@
         endings: Endings,
     ) -> None:
         """Work on the state of one owner."""
-        self.finished = asyncio.Event()
         self._state = state
         self._starts = starts
         self._endings = endings
@@ -60,6 +58,12 @@
         spec = decode_json(record.spec_json, TaskSpec)
         entry = self._state.new_entry(spec, record.body_hash)
         entry.is_recorded = True
+        entry.answer = attrs.evolve(
+            entry.answer,
+            state=RequestState.accepted,
+            reason='',
+            can_retry=False,
+        )
         self._state.table.add(entry)
         if record.kind == RecordKind.ended:
             answer = decode_json(record.answer_json, Answer)
@@ -75,7 +79,7 @@
                 record.answer_json,
                 dict[str, StartIntent],
             )
-        self._waiting.append(entry)
+        self._wait_for(entry)
 
     def entry_of(self, task: WorkerTask) -> RequestEntry | None:
         """Return a new entry for a prompt task found on a worker."""
@@ -87,6 +91,8 @@
             return None
         entry = self._state.new_entry(spec, body_hash_of(spec))
         self._state.table.add(entry)
+        if not self._state.recovered.is_set():
+            self._wait_for(entry)
         return entry
 
     def count_task(
@@ -113,19 +119,25 @@
         while not self._is_over():
             await asyncio.sleep(_POLL_S)
         for entry in self._waiting:
+            entry.is_recovering = False
             if not entry.is_closing:
                 self._settle(entry)
         self._waiting.clear()
-        self.finished.set()
+        self._state.recovered.set()
         self._state.log('recovered', requests=self._state.table.open_count())
 
+    def _wait_for(self, entry: RequestEntry) -> None:
+        entry.is_recovering = True
+        self._waiting.append(entry)
+
     def _settle(self, entry: RequestEntry) -> None:
         found = len(entry.workers) + len(entry.outputs)
         if found == entry.spec.gang_size:
             return
         if entry.spec.is_unrepeatable and self._has_not_started(entry):
             entry.may_have_run = False
-        if not found and entry.may_have_run and entry.spec.is_unrepeatable:
+        if entry.may_have_run and entry.spec.is_unrepeatable:
+            self._state.stop_tasks(entry)
             self._endings.end(
                 entry,
                 RequestState.unknown,
--- a/packages/currantreach-daemon/src/currantreach_daemon/_requests.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_requests.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import functools
 import hashlib
 from typing import TYPE_CHECKING
 
@@ -13,14 +14,19 @@
 from currantreach_types import (
     Answer,
     PolicyKind,
+    RequestId,
     RequestState,
+    Resources,
     TaskSpec,
+    decode_json,
     encode_json,
+    new_request_id,
 )
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from currantreach_state import Claim
     from currantreach_types import Refusal
 
 __all__ = (
@@ -28,10 +34,19 @@
     'RequestTable',
     'StartIntent',
     'body_hash_of',
+    'issue_request_id',
     'not_run_answer',
 )
 
 _DIGEST_BYTES = 16
+_MS_PER_S = 1000
+# Measured sizes of a request in progress and of an ended one, without what
+# callers and tasks add. The code takes 47 MB of the 64 MB of a daemon.
+_OPEN_BYTES = 1800
+_ENDED_BYTES = 850
+_OPEN_LIMIT_BYTES = 12_000_000
+_ENDED_LIMIT_BYTES = 6_000_000
+_SPEC_KINDS = 256
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -47,6 +62,35 @@
     boot_id: str
 
 
+class EndSignal:
+    """Event without a queue until someone waits, which saves 700 bytes."""
+
+    __slots__ = ('_event', '_is_set')
+
+    def __init__(self) -> None:
+        """Start unset."""
+        self._is_set = False
+        self._event: asyncio.Event | None = None
+
+    def is_set(self) -> bool:
+        """Tell whether it was set."""
+        return self._is_set
+
+    def set(self) -> None:
+        """Wake all that wait."""
+        self._is_set = True
+        if self._event is not None:
+            self._event.set()
+
+    async def wait(self) -> None:
+        """Wait until it is set."""
+        if self._is_set:
+            return
+        if self._event is None:
+            self._event = asyncio.Event()
+        await self._event.wait()
+
+
 @attrs.define(slots=True, kw_only=True, eq=False)
 class RequestEntry:
     """A request and what is known of its tasks.
@@ -55,13 +99,18 @@
     :ivar submitted_s: monotonic time of the submission.
     :ivar is_recorded: whether the journal holds it, or need not.
     :ivar is_cancelled: whether a caller cancelled it.
+    :ivar is_recording: whether its acceptance is being recorded.
+    :ivar is_recovering: whether workers that may run it were not read yet.
+    :ivar is_broken: whether a task is missing, so that the others stop.
     :ivar is_closing: whether its final answer is settled, though perhaps
         not yet recorded.
     :ivar may_have_run: whether a task of it ran or may have run.
     :ivar held: placements that wait for the journal.
     :ivar workers: worker of each task that may run.
     :ivar outputs: output of each finished task.
-    :ivar attempt_count: how often it was started.
+    :ivar failure_count: how often a task of it failed.
+    :ivar retry_count: how often it was queued again with a delay.
+    :ivar pending_end: final answer that waits for the recording.
     :ivar intents: boot id of the worker of each task that was recorded as
         about to start.
     :ivar closed_on: pairs of worker and task id that were seen to end.
@@ -75,34 +124,49 @@
     is_durable: bool
     is_recorded: bool = False
     is_cancelled: bool = False
+    is_recording: bool = False
+    is_recovering: bool = False
+    is_broken: bool = False
     is_closing: bool = False
     may_have_run: bool = False
     held: list[Placement] = attrs.field(factory=list)
     workers: dict[str, str] = attrs.field(factory=dict)
     outputs: dict[str, str] = attrs.field(factory=dict)
-    attempt_count: int = 0
+    failure_count: int = 0
+    retry_count: int = 0
+    pending_end: Answer | None = None
     intents: dict[str, StartIntent] = attrs.field(factory=dict)
-    closed_on: set[tuple[str, str]] = attrs.field(factory=set)
-    ended: asyncio.Event = attrs.field(factory=asyncio.Event)
+    closed_on: frozenset[tuple[str, str]] = frozenset()
+    ended: EndSignal = attrs.field(factory=EndSignal)
 
     @property
     def request_id(self) -> str:
         """Return the id of the request."""
-        return self.spec.request_id
+        return self.answer.request_id
 
 
 class RequestTable:
     """Requests in progress, and ended ones until they are retired.
 
-    :param ended_limit: ended requests kept at most.
+    Refused requests are kept apart, so that a storm of refusals does not
+    displace the results of others.
+
+    :param ended_limit: ended and refused requests kept at most, of each kind.
     """
 
     def __init__(self, ended_limit: int) -> None:
         """Start without requests."""
         self._entries: dict[str, RequestEntry] = {}
         self._ended: collections.deque[tuple[float, str]] = collections.deque()
+        self._refused: collections.deque[tuple[float, str]]
+        self._refused = collections.deque()
         self._ended_limit = ended_limit
-        self._open_counts: collections.Counter[str] = collections.Counter()
+        self._open_count = 0
+        self._open_bytes = 0
+        self._ended_bytes = 0
+        self._horizon_ms = -1
+        # Ended requests share its event and containers, which nobody changes.
+        self._blank = _blank_entry()
 
     def __iter__(self) -> Iterator[RequestEntry]:
         """Iterate over a snapshot of all entries."""
@@ -112,20 +176,28 @@
         """Return the entry of a request, if it is known."""
         return self._entries.get(request_id)
 
+    def has_room(self, spec: TaskSpec) -> bool:
+        """Tell whether a request fits in the memory set aside."""
+        size_bytes = self._open_bytes + _open_bytes(spec)
+        return size_bytes <= _OPEN_LIMIT_BYTES
+
+    def may_be_forgotten(self, request_id: str) -> bool:
+        """Tell whether an id without an entry may belong to a retired one.
+
+        Ids carry the time of their issue; an id that is not younger than the
+        youngest retired one may have been retired too.
+        """
+        return _issued_ms(request_id) <= self._horizon_ms
+
     def add(self, entry: RequestEntry) -> None:
         """Add a request."""
         self._entries[entry.request_id] = entry
-        self._open_counts[entry.spec.team] += 1
-
-    def remove(self, request_id: str) -> None:
-        """Forget a request."""
-        entry = self._entries.pop(request_id, None)
-        if entry is not None and not entry.ended.is_set():
-            self._open_counts[entry.spec.team] -= 1
+        self._open_count += 1
+        self._open_bytes += _open_bytes(entry.spec)
 
     def open_count(self) -> int:
         """Return how many requests have not ended."""
-        return self._open_counts.total()
+        return self._open_count
 
     def open_prompt_count(self) -> int:
         """Return how many prompt requests have not ended."""
@@ -140,27 +212,119 @@
         if entry.ended.is_set():
             return
         entry.ended.set()
-        self._open_counts[entry.spec.team] -= 1
-        self._ended.append((now_s, entry.request_id))
+        self._open_count -= 1
+        self._open_bytes -= _open_bytes(entry.spec)
+        self._ended_bytes += _ended_bytes(answer)
+        self._compact(entry)
+        is_refused = answer.state == RequestState.not_run
+        ended = self._refused if is_refused else self._ended
+        ended.append((now_s, entry.request_id))
 
     def retire(self, before_s: float) -> tuple[RequestEntry, ...]:
         """Forget and return the requests that ended before a time."""
-        retired = []
-        while self._ended:
-            ended_s, request_id = self._ended[0]
-            is_over_limit = len(self._ended) > self._ended_limit
+        return (
+            *self._retire_from(self._refused, before_s),
+            *self._retire_from(self._ended, before_s),
+        )
+
+    def _retire_from(
+        self,
+        ended: collections.deque[tuple[float, str]],
+        before_s: float,
+    ) -> Iterator[RequestEntry]:
+        while ended:
+            ended_s, request_id = ended[0]
+            is_over_limit = (
+                len(ended) > self._ended_limit
+                or self._ended_bytes > _ENDED_LIMIT_BYTES
+            )
             if ended_s >= before_s and not is_over_limit:
-                break
-            self._ended.popleft()
-            entry = self._entries.pop(request_id, None)
-            if entry is not None:
-                retired.append(entry)
-        return tuple(retired)
+                return
+            ended.popleft()
+            entry = self._entries.pop(request_id)
+            self._ended_bytes -= _ended_bytes(entry.answer)
+            self._horizon_ms = max(self._horizon_ms, _issued_ms(request_id))
+            yield entry
+
+    def _compact(self, entry: RequestEntry) -> None:
+        """Drop what only requests in progress need."""
+        spec = entry.spec
+        blank = self._blank
+        entry.spec = _ended_spec(
+            spec.team,
+            spec.queue,
+            spec.workload,
+            spec.policy,
+            spec.is_unrepeatable,
+        )
+        entry.ended = blank.ended
+        entry.held = blank.held
+        entry.workers = blank.workers
+        entry.outputs = blank.outputs
+        entry.intents = blank.intents
+        entry.closed_on = frozenset()
+
+
+@functools.lru_cache(maxsize=_SPEC_KINDS)
+def _ended_spec(
+    team: str,
+    queue: str,
+    workload: str,
+    policy: PolicyKind,
+    is_unrepeatable: bool,
+) -> TaskSpec:
+    """Return what is kept of the specs of ended requests."""
+    return TaskSpec(
+        request_id='',
+        team=team,
+        queue=queue,
+        workload=workload,
+        policy=policy,
+        resources=Resources(),
+        is_unrepeatable=is_unrepeatable,
+    )
+
+
+def _blank_entry() -> RequestEntry:
+    blank = RequestEntry(
+        spec=_ended_spec('', '', '', PolicyKind.prompt, is_unrepeatable=False),
+        body_hash='',
+        submitted_s=0,
+        answer=Answer(request_id='', state=RequestState.unknown),
+        is_durable=False,
+    )
+    blank.ended.set()
+    return blank
+
+
+def issue_request_id(claim: Claim, now_s: float) -> str:
+    """Return a new id that carries the time of its issue."""
+    issued = new_request_id(claim.domain, claim.partition, claim.epoch)
+    issued_ms = int(now_s * _MS_PER_S)
+    return str(attrs.evolve(issued, suffix=f'{issued_ms}-{issued.suffix}'))
+
+
+def _issued_ms(request_id: str) -> int:
+    issued, dash, _random = RequestId.parse(request_id).suffix.partition('-')
+    return int(issued) if dash and issued.isdecimal() else 0
+
+
+def _open_bytes(spec: TaskSpec) -> int:
+    return _OPEN_BYTES + len(spec.payload)
+
+
+def _ended_bytes(answer: Answer) -> int:
+    return _ENDED_BYTES + sum(len(text) for text in answer.output)
 
 
 def body_hash_of(spec: TaskSpec) -> str:
-    """Return the hash that recognises a repeated submission."""
-    digest = hashlib.blake2b(encode_json(spec), digest_size=_DIGEST_BYTES)
+    """Return the hash that recognises a repeated submission.
+
+    It is the same for a spec that was read back from a worker, where whole
+    numbers became fractions.
+    """
+    known = decode_json(encode_json(spec), TaskSpec)
+    digest = hashlib.blake2b(encode_json(known), digest_size=_DIGEST_BYTES)
     return digest.hexdigest()
 
 
--- a/packages/currantreach-daemon/src/currantreach_daemon/_starts.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_starts.py
@@ -9,12 +9,16 @@
 
 from currantreach_daemon._owner_state import journal_record
 from currantreach_daemon._requests import StartIntent
+from currantreach_daemon._retry_budget import RetryBudget, retry_delay_s
 from currantreach_decisions import TaskEnd
 from currantreach_state import RecordKind
 from currantreach_types import RequestState, refusals
 from currantreach_types.errors import (
+    CurrantreachError,
     LostAnswerError,
+    MalformedMessageError,
     PlatformError,
+    StaleEpochError,
     StoreUnavailableError,
 )
 
@@ -23,10 +27,12 @@
     from currantreach_daemon._owner_state import OwnerState
     from currantreach_daemon._requests import RequestEntry
     from currantreach_decisions import Placement
+    from currantreach_types import Refusal
 
 __all__ = ('Starts',)
 
 _SETTLE_RETRY_S = 1
+_TEMPORARY = frozenset((refusals.QUEUE_FULL, refusals.NEVER_FITS))
 
 
 class Starts:
@@ -36,6 +42,10 @@
         """Work on the state of one owner."""
         self._state = state
         self._endings = endings
+        self._budget = RetryBudget(
+            state.tools.clock,
+            state.tools.retry_budget_ratio,
+        )
 
     def dispatch(self, placement: Placement) -> None:
         """Start a placement as soon as its request is recorded."""
@@ -59,21 +69,56 @@
 
     async def record_accepted(self, entry: RequestEntry) -> None:
         """Record a durable request, or refuse it."""
+        entry.is_recording = True
         try:
             await self._state.append(entry, RecordKind.accepted)
-        except StoreUnavailableError:
-            self._withdraw(entry)
-            return
         except LostAnswerError:
             entry.answer = attrs.evolve(
                 entry.answer,
-                state=RequestState.unknown,
                 reason='store_answer_lost',
-                can_retry=True,
             )
             self._state.spawn(self._settle_accepted(entry))
+        except (PlatformError, MalformedMessageError) as exc:
+            self._withdraw(entry, _refusal_of(exc))
+        else:
+            self.note_recorded(entry)
+
+    def note_recorded(self, entry: RequestEntry) -> None:
+        """Start, or end, what waited for the record."""
+        entry.is_recorded = True
+        entry.is_recording = False
+        held = tuple(entry.held)
+        entry.held.clear()
+        if entry.pending_end is None:
+            self._accept(entry)
+        else:
+            self._endings.resume(entry)
+        if entry.is_cancelled and not held:
+            self._endings.refuse(entry, refusals.CANCELLED)
+        for placement in held:
+            self.dispatch(placement)
+
+    def retry_failed(self, entry: RequestEntry) -> None:
+        """Run a request again after a failure, as far as its budget goes."""
+        if not self._budget.take(entry.spec.team):
+            self._state.stop_tasks(entry)
+            refusal = refusals.RETRY_BUDGET_SPENT
+            self._state.tools.metrics.refused(refusal.reason)
+            self._endings.end(
+                entry,
+                RequestState.failed,
+                reason=refusal.reason,
+            )
             return
-        self._note_recorded(entry)
+        self._state.tools.metrics.retried('task_failed')
+        if entry.workers:
+            self.settle_partial(entry)
+        else:
+            self._settle_later(entry)
+
+    def note_request(self, entry: RequestEntry) -> None:
+        """Count a first request for the retry budget of its team."""
+        self._budget.note_request(entry.spec.team)
 
     def queue_again(self, entry: RequestEntry) -> None:
         """Queue a request none of whose tasks runs."""
@@ -83,27 +128,36 @@
             left_s = entry.submitted_s + spec.deadline_s - now_s
             spec = attrs.evolve(spec, deadline_s=max(float(0), left_s))
         refusal = self._state.tools.scheduler.submit(spec, now_s)
+        if refusal in _TEMPORARY and entry.is_durable:
+            # Accepted work outlives a queue that filled up meanwhile and
+            # workers that are away.
+            self._settle_later(entry)
+            return
         if refusal is not None:
             self._endings.refuse(entry, refusal)
             return
-        entry.answer = attrs.evolve(
-            entry.answer,
-            state=RequestState.accepted,
-        )
+        self._accept(entry)
         self._state.wakeup.set()
 
     def settle_partial(self, entry: RequestEntry) -> None:
         """Queue a request again once none of its tasks is left."""
         if entry.workers:
+            entry.is_broken = True
             self._state.stop_tasks(entry)
+        elif entry.is_closing or entry.is_recovering:
             return
-        if entry.is_closing:
-            return
-        if entry.is_cancelled:
+        elif entry.is_cancelled:
             self._endings.refuse(entry, refusals.CANCELLED)
-            return
-        entry.outputs.clear()
-        self.queue_again(entry)
+        elif entry.spec.is_unrepeatable and entry.may_have_run:
+            self._endings.end(
+                entry,
+                RequestState.failed,
+                reason='gang_incomplete',
+            )
+        else:
+            entry.is_broken = False
+            entry.outputs.clear()
+            self.queue_again(entry)
 
     def note_not_started(self, placement: Placement) -> None:
         """Queue a request again whose start had no effect."""
@@ -118,7 +172,9 @@
 
     def _send(self, entry: RequestEntry, placement: Placement) -> None:
         link = self._state.links.get(placement.worker)
-        if link is None or entry.is_cancelled or entry.is_closing:
+        is_closed = placement.worker in self._state.closed
+        is_over = entry.is_cancelled or entry.is_closing or entry.is_broken
+        if link is None or is_closed or is_over:
             self.note_not_started(placement)
         else:
             link.start(placement)
@@ -128,13 +184,16 @@
         entry: RequestEntry,
         placement: Placement,
     ) -> None:
+        if entry.is_closing:
+            self.note_not_started(placement)
+            return
         key = (placement.worker, placement.task_id)
         link = self._state.links.get(placement.worker)
         try:
             if key in entry.closed_on and link is not None:
                 # The worker answers "known" while it remembers the last run.
                 await link.retire((placement.task_id,))
-                entry.closed_on.discard(key)
+                entry.closed_on -= {key}
             if entry.is_durable and entry.spec.is_unrepeatable:
                 self._note_intent(entry, placement)
                 await self._state.append(entry, RecordKind.starting)
@@ -152,15 +211,9 @@
 
     async def _settle_accepted(self, entry: RequestEntry) -> None:
         if await self._settled(entry):
-            entry.answer = attrs.evolve(
-                entry.answer,
-                state=RequestState.accepted,
-                reason='',
-                can_retry=False,
-            )
-            self._note_recorded(entry)
+            self.note_recorded(entry)
         else:
-            self._withdraw(entry)
+            self._withdraw(entry, refusals.STORE_UNAVAILABLE)
 
     async def _settled(self, entry: RequestEntry) -> bool:
         record = journal_record(entry, RecordKind.accepted)
@@ -169,18 +222,49 @@
                 return await self._state.tools.journal.settle(record)
             except (StoreUnavailableError, LostAnswerError):
                 await asyncio.sleep(_SETTLE_RETRY_S)
+            except StaleEpochError:
+                self._state.lost.set()
+                raise
 
-    def _withdraw(self, entry: RequestEntry) -> None:
+    def _withdraw(self, entry: RequestEntry, refusal: Refusal) -> None:
+        entry.is_recording = False
         self._state.tools.scheduler.cancel((entry.request_id,))
         for placement in entry.held:
             self._state.give_back(placement.task_id, TaskEnd.not_started)
         entry.held.clear()
         entry.workers.clear()
-        self._endings.refuse(entry, refusals.STORE_UNAVAILABLE)
+        if entry.pending_end is None:
+            self._endings.refuse(entry, refusal)
+        else:
+            self._endings.resume(entry)
 
-    def _note_recorded(self, entry: RequestEntry) -> None:
-        entry.is_recorded = True
-        held = tuple(entry.held)
-        entry.held.clear()
-        for placement in held:
-            self.dispatch(placement)
+    def _accept(self, entry: RequestEntry) -> None:
+        entry.answer = attrs.evolve(
+            entry.answer,
+            state=RequestState.accepted,
+            reason='',
+            can_retry=False,
+        )
+
+    def _settle_later(self, entry: RequestEntry) -> None:
+        entry.retry_count += 1
+        self._accept(entry)
+        self._state.spawn(
+            self._settle_after(
+                entry,
+                retry_delay_s(entry.request_id, entry.retry_count),
+            ),
+        )
+
+    async def _settle_after(self, entry: RequestEntry, delay_s: float) -> None:
+        await asyncio.sleep(delay_s)
+        self.settle_partial(entry)
+
+
+def _refusal_of(error: CurrantreachError) -> Refusal:
+    """Return why a request was certainly not recorded."""
+    if isinstance(error, MalformedMessageError):
+        return refusals.BODY_TOO_LARGE
+    if isinstance(error, StaleEpochError):
+        return refusals.NO_OWNER
+    return refusals.STORE_UNAVAILABLE
--- a/packages/currantreach-daemon/src/currantreach_daemon/_task_events.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_task_events.py
@@ -21,7 +21,7 @@
 
 __all__ = ('TaskEvents',)
 
-_ATTEMPT_LIMIT = 3
+_FAILURE_LIMIT = 3
 
 
 class TaskEvents(WorkerListener):
@@ -84,12 +84,18 @@
 
     def task_lost(self, worker: str, task_id: str) -> None:
         """Run a lost task again if that is allowed."""
-        self._state.give_back(task_id, TaskEnd.lost)
         entry = self._state.table.get(task_id.rpartition('/')[0])
-        if entry is None or entry.is_closing:
+        if entry is None or entry.ended.is_set():
+            self._state.give_back(task_id, TaskEnd.lost)
+            return
+        if entry.workers.get(task_id) != worker:
+            # An old run; the present one has its own room elsewhere.
+            return
+        self._state.give_back(task_id, TaskEnd.lost)
+        entry.workers.pop(task_id)
+        if entry.is_closing:
             return
         entry.may_have_run = True
-        entry.workers.pop(task_id, None)
         self._state.log('task_lost', task=task_id, worker=worker)
         if entry.spec.is_unrepeatable:
             self._endings.end(entry, RequestState.unknown, reason='worker_lost')
@@ -116,7 +122,7 @@
         return has_ended and (worker, task.task_id) in entry.closed_on
 
     def _note_running(self, entry: RequestEntry, task: WorkerTask) -> None:
-        if entry.is_cancelled:
+        if entry.is_cancelled or entry.is_broken:
             self._state.stop_tasks(entry)
         if task.observed != Resources():
             self._state.tools.scheduler.observe(
@@ -126,7 +132,6 @@
             )
         if entry.answer.state == RequestState.running:
             return
-        entry.attempt_count += 1
         waited_s = self._state.now_s() - entry.submitted_s
         self._state.tools.metrics.waited(entry.spec.workload, waited_s)
         entry.answer = attrs.evolve(
@@ -149,11 +154,14 @@
         }
         self._state.give_back(task.task_id, ends[task.phase])
         entry.workers.pop(task.task_id, None)
-        entry.closed_on.add((worker, task.task_id))
+        entry.closed_on |= {(worker, task.task_id)}
         if task.phase == TaskPhase.finished:
             entry.outputs[task.task_id] = task.output
             self._endings.retire_later(entry, worker, task)
             self._endings.finish_if_complete(entry)
+            if not entry.workers:
+                # The rest of a gang that lost a task ended by itself.
+                self._starts.settle_partial(entry)
             return
         if entry.spec.is_unrepeatable:
             self._endings.retire_later(entry, worker, task)
@@ -162,19 +170,20 @@
         self._end_or_retry(entry, task.phase)
 
     def _end_or_retry(self, entry: RequestEntry, phase: TaskPhase) -> None:
-        is_spent = entry.attempt_count >= _ATTEMPT_LIMIT
         if entry.is_cancelled:
             if not entry.workers:
                 self._endings.end(
                     entry, RequestState.failed, reason='cancelled'
                 )
-        elif phase == TaskPhase.stopped and not entry.spec.is_unrepeatable:
-            self._starts.settle_partial(entry)
-        elif entry.spec.is_unrepeatable or is_spent:
+            return
+        entry.failure_count += phase == TaskPhase.failed
+        is_spent = entry.failure_count >= _FAILURE_LIMIT
+        if entry.spec.is_unrepeatable or is_spent:
             self._state.stop_tasks(entry)
             self._endings.end(
                 entry, RequestState.failed, reason=f'task_{phase}'
             )
+        elif phase == TaskPhase.failed:
+            self._starts.retry_failed(entry)
         else:
-            self._state.tools.metrics.retried(f'task_{phase}')
             self._starts.settle_partial(entry)
--- a/packages/currantreach-daemon/src/currantreach_daemon/_worker_set.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_worker_set.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from currantreach_daemon._log import log_problem
 from currantreach_daemon._worker_link import WorkerLink
 from currantreach_types import Resources
 
@@ -26,6 +27,13 @@
         self._state = state
         self._listener = listener
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._is_open = False
+        self._newest: tuple[Sequence[WorkerInfo], set[str]] = ((), set())
+
+    def open(self) -> None:
+        """Connect to the workers."""
+        self._is_open = True
+        self.update(*self._newest)
 
     async def close(self) -> None:
         """Stop all links and leave the tasks to the successor."""
@@ -40,18 +48,19 @@
         :param hosts: workers of this partition.
         :param closed: names of workers that receive no new task.
         """
+        self._newest = (hosts, closed)
+        if not self._is_open:
+            return
         listed = {host.name: host for host in hosts}
+        unlisted = self._state.links.keys() - listed.keys()
+        # The host list lags, so a worker that still answers is kept closed.
+        self._state.closed = closed | unlisted
         for name, host in listed.items():
-            self._state.hosts[name] = host
-            if name not in self._state.links:
-                self._open_link(host)
-            is_open = (
-                name not in closed and self._state.links[name].is_connected
-            )
-            self._state.tools.scheduler.set_worker(host, is_open=is_open)
-        for gone in tuple(self._state.links.keys() - listed.keys()):
-            self._drop_unlisted(gone)
-        self._state.closed = closed
+            self._follow(name, host)
+        for gone in unlisted:
+            self._follow(gone, self._state.hosts[gone])
+            if self._has_ended(gone):
+                self._drop(gone)
         self._state.wakeup.set()
 
     @property
@@ -84,12 +93,24 @@
                 largest = largest.at_least(host.capacity)
         return largest
 
-    def _drop_unlisted(self, name: str) -> None:
-        # The host list lags, so a worker that still answers is kept closed.
-        if self._state.links[name].is_connected:
-            self._state.tools.scheduler.set_worker(
-                self._state.hosts[name], is_open=False
-            )
+    def _follow(self, name: str, host: WorkerInfo) -> None:
+        self._state.hosts[name] = host
+        link = self._state.links.get(name)
+        if link is None:
+            self._open_link(host)
+        elif link.worker.url != host.url:
+            link.move(host)
+        self._state.tools.scheduler.set_worker(host, is_open=self.is_open(name))
+
+    def _has_ended(self, name: str) -> bool:
+        is_recovered = self._state.recovered.is_set()
+        return is_recovered and self._state.links[name].has_expired()
+
+    def _drop(self, name: str) -> None:
+        self._state.links.pop(name)
+        self._state.hosts.pop(name)
+        self._tasks.pop(name).cancel()
+        self._state.tools.scheduler.remove_worker(name)
 
     def _open_link(self, host: WorkerInfo) -> None:
         link = WorkerLink(
@@ -103,4 +124,11 @@
             self._state.tools.task_lease_s,
         )
         self._state.links[host.name] = link
-        self._tasks[host.name] = asyncio.create_task(link.run())
+        running = asyncio.create_task(link.run())
+        running.add_done_callback(_log_failure)
+        self._tasks[host.name] = running
+
+
+def _log_failure(running: asyncio.Task[None]) -> None:
+    if not running.cancelled() and running.exception() is not None:
+        log_problem('worker_link_failed', error=running.exception())
--- a/packages/currantreach-daemon/tests/conftest.py
+++ b/packages/currantreach-daemon/tests/conftest.py
@@ -8,6 +8,7 @@
 
 import attrs
 import hypothesis
+import logbook
 import pytest
 
 from currantreach_daemon._metrics import Metrics
@@ -412,7 +413,11 @@
         self.starts = []
         self.calls = collections.defaultdict(list)
         self.faults = []
-        self.options = {'metrics': _METRICS, **options}
+        self.options = {
+            'metrics': _METRICS,
+            'result_retention_s': 3600,
+            **options,
+        }
         self.deadline_s = float('inf')
         self.epoch = 0
         self.owner = None
@@ -470,7 +475,6 @@
             workers=self.client,
             deadline_s=lambda: self.deadline_s,
             task_lease_s=LEASE_S,
-            result_retention_s=3600,
             unadopted_wait_s=LEASE_S + 4,
             **self.options,
         )
@@ -480,9 +484,11 @@
         self.list_hosts()
         return self.owner
 
-    def list_hosts(self):
+    def list_hosts(self, without=()):
         """Hand the host list to the owner."""
-        hosts = [worker.info for worker in self.list()]
+        hosts = [
+            worker.info for worker in self.list() if worker.name not in without
+        ]
         self.owner.workers.update(hosts, set(self.closed))
 
     async def stop_owner(self):
@@ -519,7 +525,13 @@
 
     async def final(self, request_id, timeout_s=120):
         """Return the answer once it is final."""
-        return await self.owner.wait(request_id, 'tine', timeout_s)
+        end_s = self.clock.now_s() + timeout_s
+        while True:
+            left_s = max(0, end_s - self.clock.now_s())
+            answer = await self.owner.wait(request_id, 'tine', left_s)
+            if not (answer.can_retry and left_s):
+                return answer
+            await asyncio.sleep(0.1)
 
 
 @pytest.fixture
@@ -551,3 +563,14 @@
             runner.run(whole())
 
     return play
+
+
+@pytest.fixture
+def caught():
+    """Return a function that lists the lines for ends of requests so far."""
+    with logbook.TestHandler() as records:
+        yield lambda: [
+            record.message
+            for record in records.records
+            if 'event=request_end' in record.message
+        ]
--- /dev/null
+++ b/packages/currantreach-daemon/tests/test_owner.py
@@ -0,0 +1,503 @@
+"""Tests of the owner: acceptance, starts, cancellation and endings."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+import pytest
+
+from currantreach_types import Resources, TaskPhase
+
+
+def test_same_id_twice(simulate):
+    """A repeated submission starts the work again (P7)."""
+
+    async def scenario(cell):
+        spec = cell.spec('prompt')
+        for _ in range(3):
+            answer = await cell.submit(spec)
+            assert answer.state in {'accepted', 'running'}
+            await asyncio.sleep(0.2)
+        other = await cell.submit(attrs.evolve(spec, payload='other'))
+        assert other.reason == 'id_reused'
+        assert (await cell.final(spec.request_id)).state == 'finished'
+        assert (await cell.submit(spec)).state == 'finished'
+        assert cell.start_count(spec.request_id) == 1
+
+    simulate(scenario)
+
+
+@pytest.mark.parametrize('is_recovering', [True, False])
+def test_earlier_epoch(simulate, is_recovering):
+    """An id that the predecessor may have run is run or called not run."""
+
+    async def scenario(cell):
+        spec = cell.spec('prompt')
+        await cell.replace_owner()
+        if not is_recovering:
+            await asyncio.sleep(1)
+        answer = await cell.submit(spec)
+        assert answer.state == 'unknown'
+        assert answer.can_retry is is_recovering
+        await asyncio.sleep(1)
+        assert cell.start_count(spec.request_id) == 0
+
+    simulate(scenario)
+
+
+def test_retired_id(simulate):
+    """An id whose answer was forgotten is run again (P7)."""
+
+    async def scenario(cell):
+        early = cell.spec('prompt')
+        spec = cell.spec('prompt')
+        await cell.submit(spec)
+        await cell.final(spec.request_id)
+        await asyncio.sleep(70)
+        for stale in (spec, early):
+            assert (await cell.submit(stale)).state == 'unknown'
+        fresh = cell.spec('prompt')
+        await cell.submit(fresh)
+        assert (await cell.final(fresh.request_id)).state == 'finished'
+        assert cell.start_count(spec.request_id) == 1
+
+    simulate(scenario, result_retention_s=60)
+
+
+def test_store_unavailable(simulate):
+    """Durable work that was not recorded is started or kept (P6)."""
+
+    async def scenario(cell):
+        cell.journal.is_down = True
+        spec = cell.spec()
+        answer = await cell.submit(spec)
+        assert (answer.state, answer.reason) == ('not_run', 'store_unavailable')
+        cell.journal.is_down = False
+        await asyncio.sleep(5)
+        assert not cell.calls['start']
+
+    simulate(scenario)
+
+
+@pytest.mark.parametrize(
+    ('fault', 'expected'),
+    [('lost', 'finished'), ('late', 'not_run')],
+)
+def test_lost_store_answer(simulate, fault, expected):
+    """A record without an answer is guessed instead of settled (P6)."""
+
+    async def scenario(cell):
+        cell.journal.faults.append(fault)
+        spec = cell.spec()
+        answer = await cell.submit(spec)
+        assert (answer.state, answer.can_retry) == ('unknown', True)
+        assert (await cell.submit(spec)).state == 'unknown'
+        assert not cell.calls['start']
+        assert (await cell.final(spec.request_id)).state == expected
+
+    simulate(scenario)
+
+
+def test_repeated_while_recording(simulate):
+    """A caller is told 'accepted' before the work is durable."""
+
+    async def scenario(cell):
+        cell.journal.held = asyncio.Event()
+        cell.journal.faults.append('down')
+        spec = cell.spec()
+        first = asyncio.create_task(cell.submit(spec))
+        await asyncio.sleep(0.1)
+        assert (await cell.submit(spec)).state == 'unknown'
+        cell.journal.held.set()
+        assert (await first).state == 'not_run'
+
+    simulate(scenario)
+
+
+def test_caller_gone_while_recording(simulate):
+    """Work of a caller that hung up is recorded but never run."""
+
+    async def scenario(cell):
+        cell.journal.held = asyncio.Event()
+        spec = cell.spec()
+        first = asyncio.create_task(cell.submit(spec))
+        await asyncio.sleep(0.1)
+        first.cancel()
+        cell.journal.held.set()
+        assert (await cell.final(spec.request_id)).state == 'finished'
+
+    simulate(scenario)
+
+
+def test_lost_worker(simulate):
+    """Unrepeatable work is run again, or repeatable work is lost (P7)."""
+
+    async def scenario(cell):
+        once = cell.spec(is_unrepeatable=True, expected_run_s=50)
+        again = cell.spec(expected_run_s=50)
+        for spec in (once, again):
+            await cell.submit(spec)
+            await asyncio.sleep(0.1)
+        for name in cell.places(once.request_id) + cell.places(
+            again.request_id
+        ):
+            cell.workers[name].is_cut = True
+        cell.add_worker('w9')
+        cell.list_hosts()
+        assert (await cell.final(once.request_id)).state == 'unknown'
+        assert (await cell.final(again.request_id)).state == 'finished'
+        assert cell.start_count(once.request_id) == 1
+        assert cell.start_count(again.request_id) == 2
+
+    simulate(scenario)
+
+
+def test_unanswered_intent(simulate):
+    """An intent without an answer lets unrepeatable work start twice."""
+
+    async def scenario(cell):
+        cell.journal.faults.extend((None, 'lost'))
+        spec = cell.spec(is_unrepeatable=True)
+        await cell.submit(spec)
+        assert (await cell.final(spec.request_id)).state == 'finished'
+        assert cell.start_count(spec.request_id) == 1
+
+    simulate(scenario)
+
+
+def test_cancel(simulate):
+    """A cancelled request runs, or is called not run after it ran (P6)."""
+
+    async def scenario(cell):
+        cell.closed = set(cell.workers)
+        cell.list_hosts()
+        before = cell.spec()
+        await cell.submit(before)
+        cell.owner.cancel([before.request_id], 'feed')
+        cell.owner.cancel([before.request_id], 'tine')
+        assert (await cell.final(before.request_id)).state == 'not_run'
+        cell.closed = set()
+        cell.list_hosts()
+        for worker in cell.list():
+            worker.delays['start', 'effect'] = asyncio.Event()
+        during = cell.spec('prompt')
+        await cell.submit(during)
+        await asyncio.sleep(0.1)
+        cell.owner.cancel([during.request_id], 'tine')
+        for worker in cell.list():
+            worker.delays.pop(('start', 'effect')).set()
+        answer = await cell.final(during.request_id)
+        assert (answer.state, answer.reason) == ('failed', 'cancelled')
+        after = cell.spec('prompt', expected_run_s=0.1)
+        await cell.submit(after)
+        await cell.final(after.request_id)
+        answers = cell.owner.cancel([after.request_id], 'tine')
+        assert answers[0].state == 'finished'
+        assert cell.start_count(before.request_id) == 0
+
+    simulate(scenario)
+
+
+@pytest.mark.parametrize('fault', [None, 'down', 'lost', 'late'])
+def test_cancel_while_recording(simulate, fault):
+    """Work that was cancelled as not run is run by the successor (P6)."""
+
+    async def scenario(cell):
+        cell.journal.held = asyncio.Event()
+        cell.journal.faults.append(fault)
+        spec = cell.spec()
+        submitted = asyncio.create_task(cell.submit(spec))
+        await asyncio.sleep(0.02)
+        cell.owner.cancel([spec.request_id], 'tine')
+        cell.journal.held.set()
+        await submitted
+        answer = await cell.final(spec.request_id)
+        assert answer.state == 'not_run'
+        await cell.replace_owner()
+        await asyncio.sleep(3)
+        assert cell.start_count(spec.request_id) == 0
+
+    simulate(scenario)
+
+
+@pytest.mark.parametrize('fault', ['lost', 'cut', 'down', 'stopped'])
+def test_gang(simulate, fault):
+    """A gang that loses one task hangs, or runs one task twice (P2)."""
+
+    async def scenario(cell):
+        spec = cell.spec('gang', gang_size=6, expected_run_s=20)
+        await cell.submit(spec)
+        await asyncio.sleep(1)
+        assert len(cell.places(spec.request_id)) == 6
+        first = cell.workers[cell.places(spec.request_id)[0]]
+        if fault == 'lost':
+            first.end(next(iter(first.running)), TaskPhase.failed)
+        elif fault == 'stopped':
+            first.dropped['stop'] = 1
+            first.end(next(iter(first.running)), TaskPhase.stopped)
+        elif fault == 'cut':
+            first.is_cut = True
+            cell.add_worker('w9')
+            cell.list_hosts()
+        else:
+            first.clear()
+        answer = await cell.final(spec.request_id, 300)
+        assert (answer.state, len(answer.output)) == ('finished', 6)
+
+    simulate(scenario)
+
+
+def test_gang_starts_whole(simulate):
+    """A part of a gang runs while the rest does not fit."""
+
+    async def scenario(cell):
+        spec = cell.spec('gang', gang_size=8)
+        small = cell.spec(expected_run_s=30)
+        await cell.submit(small)
+        await asyncio.sleep(1)
+        await cell.submit(spec)
+        await asyncio.sleep(25)
+        assert not cell.places(spec.request_id)
+        await asyncio.sleep(7)
+        assert len(cell.places(spec.request_id)) == 8
+        assert (await cell.final(spec.request_id)).state == 'finished'
+
+    simulate(scenario)
+
+
+def test_unrepeatable_gang(simulate):
+    """A gang one of whose tasks ended runs again (P7)."""
+
+    async def scenario(cell):
+        for worker in cell.list()[:1]:
+            worker.dropped['start'] = 1
+        spec = cell.spec('gang', gang_size=8, is_unrepeatable=True)
+        await cell.submit(spec)
+        answer = await cell.final(spec.request_id)
+        assert answer.state in {'failed', 'unknown'}
+        names = [name for _, name in cell.starts]
+        assert len(names) == len(set(names))
+
+    simulate(scenario)
+
+
+def test_stray_frees_no_room(simulate):
+    """The end of an old run frees the room of the new one (P1, P2)."""
+
+    async def scenario(cell):
+        spec = cell.spec(expected_run_s=60)
+        await cell.submit(spec)
+        await asyncio.sleep(0.5)
+        old = cell.workers[cell.places(spec.request_id)[0]]
+        old.is_cut = True
+        await asyncio.sleep(45)
+        assert cell.start_count(spec.request_id) == 2
+        old.is_cut = False
+        await asyncio.sleep(5)
+        assert cell.owner.usage()['tine'].slot_count == 1
+        old.clear()
+        await asyncio.sleep(5)
+        assert cell.start_count(spec.request_id) == 2
+        assert (await cell.final(spec.request_id)).state == 'finished'
+
+    simulate(scenario)
+
+
+def test_requeued_into_full_queue(simulate):
+    """Accepted work is dropped because its queue filled up meanwhile."""
+
+    async def scenario(cell):
+        cell.workers['w1'].is_cut = True
+        await asyncio.sleep(1)
+        specs = [cell.spec(queue='short', expected_run_s=9) for _ in range(6)]
+        for spec in specs[:4]:
+            await cell.submit(spec)
+            await asyncio.sleep(0.2)
+        await cell.submit(specs[4])
+        refused = await cell.submit(specs[5])
+        assert refused.reason == 'queue_full'
+        cell.workers['w0'].clear()
+        for spec in specs[:5]:
+            assert (await cell.final(spec.request_id)).state == 'finished'
+
+    simulate(scenario)
+
+
+def test_requeued_prompt_deadline(simulate):
+    """A requeued prompt request starts after its deadline."""
+
+    async def scenario(cell):
+        spec = cell.spec('prompt', deadline_s=2, expected_run_s=30)
+        await cell.submit(spec)
+        await asyncio.sleep(0.5)
+        cell.closed = set(cell.workers)
+        cell.list_hosts()
+        worker = cell.workers[cell.places(spec.request_id)[0]]
+        worker.clear()
+        answer = await cell.final(spec.request_id, 4)
+        assert (answer.state, answer.reason) == (
+            'failed',
+            'deadline_unreachable',
+        )
+
+    simulate(scenario)
+
+
+def test_preempted_then_failed(simulate):
+    """Preemptions count as failures, so that one failure ends the work."""
+
+    async def scenario(cell):
+        spec = cell.spec(expected_run_s=30)
+        await cell.submit(spec)
+        for phase in (TaskPhase.stopped,) * 3 + (TaskPhase.failed,):
+            await asyncio.sleep(2)
+            worker = cell.workers[cell.places(spec.request_id)[0]]
+            worker.end(f'{spec.request_id}/0', phase)
+        assert (await cell.final(spec.request_id)).state == 'finished'
+
+    simulate(scenario)
+
+
+def test_retry_budget(simulate):
+    """A team whose tasks all fail multiplies the load by its retries."""
+
+    async def scenario(cell):
+        specs = [cell.spec(expected_run_s=20) for _ in range(8)]
+        for spec in specs:
+            await cell.submit(spec)
+        await asyncio.sleep(1)
+        for worker in cell.list():
+            for name in worker.running:
+                worker.end(name, TaskPhase.failed)
+        answers = [await cell.final(spec.request_id) for spec in specs]
+        spent = [
+            answer
+            for answer in answers
+            if (answer.state, answer.reason) == ('failed', 'retry_budget_spent')
+        ]
+        assert len(spent) == 3
+        assert len(cell.starts) == 8 + 5
+        page = cell.options['metrics'].render()
+        assert b'reason="retry_budget_spent"' in page
+
+    simulate(scenario, retry_budget_ratio=0)
+
+
+@pytest.mark.parametrize(
+    'excess',
+    [Resources(2), Resources(memory_mib=2000), Resources(cpu_milli=1500)],
+)
+def test_shed(simulate, excess):
+    """A lowered limit is not reached, or ends unrepeatable work first."""
+
+    async def scenario(cell):
+        specs = [
+            cell.spec(is_unrepeatable=number > 1, expected_run_s=30)
+            for number in range(4)
+        ]
+        for spec in specs:
+            await cell.submit(spec)
+        await asyncio.sleep(1)
+        cell.owner.shed('feed', excess)
+        assert not cell.calls['checkpoint']
+        cell.owner.shed('tine', excess)
+        await asyncio.sleep(0.1)
+        expected = {f'{spec.request_id}/0' for spec in specs[:2]}
+        assert set(cell.calls['checkpoint']) == expected
+
+    simulate(scenario)
+
+
+def test_worker_leaves_list(simulate):
+    """A worker that left the host list is given new work, or kept (P8)."""
+
+    async def scenario(cell):
+        gone = cell.workers['w1']
+        cell.list_hosts(without='w1')
+        gone.is_cut = True
+        await asyncio.sleep(1)
+        gone.is_cut = False
+        await asyncio.sleep(1)
+        assert not cell.owner.workers.is_open('w1')
+        gone.is_cut = True
+        for _ in range(45):
+            await asyncio.sleep(1)
+            cell.list_hosts(without='w1')
+        assert list(cell.owner.workers.hosts) == ['w0']
+
+    simulate(scenario)
+
+
+def test_worker_moves(simulate):
+    """A worker with another address and size keeps its old entry (P1)."""
+
+    async def scenario(cell):
+        moved = cell.workers['w1']
+        moved.url = 'http://elsewhere'
+        moved.capacity = Resources(1, 1000, 1000)
+        moved.clear()
+        cell.list_hosts()
+        await asyncio.sleep(2)
+        for _ in range(8):
+            await cell.submit(cell.spec(expected_run_s=30))
+        await asyncio.sleep(2)
+        assert len(moved.running) == 1
+
+    simulate(scenario)
+
+
+def test_prompt_output_kept(simulate):
+    """A renewal drops a prompt output before a successor can read it."""
+
+    async def scenario(cell):
+        await asyncio.sleep(3)
+        spec = cell.spec('prompt', expected_run_s=1)
+        await cell.submit(spec)
+        answer = await cell.final(spec.request_id)
+        await asyncio.sleep(7)
+        await cell.replace_owner()
+        await asyncio.sleep(1)
+        found = await cell.final(spec.request_id, 1)
+        assert found.output == answer.output
+        await asyncio.sleep(20)
+        assert not any(worker.tasks for worker in cell.list())
+
+    simulate(scenario)
+
+
+def test_one_end_line(simulate, caught):
+    """A request ends without a log line, or with two."""
+
+    async def scenario(cell):
+        specs = [cell.spec('prompt'), cell.spec(), cell.spec(queue='short')]
+        specs.append(attrs.evolve(specs[0], request_id=cell.owner.issue_id()))
+        specs[3] = attrs.evolve(specs[3], deadline_s=-1)
+        for spec in specs:
+            await cell.submit(spec)
+            await cell.submit(spec)
+            await cell.final(spec.request_id)
+        for spec in specs:
+            lines = [line for line in caught() if spec.request_id in line]
+            assert len(lines) == 1
+
+    simulate(scenario)
+
+
+def test_memory_bound(simulate):
+    """Large bodies or results of a busy team use up a small host."""
+
+    async def scenario(cell):
+        cell.closed = set(cell.workers)
+        cell.list_hosts()
+        large = [cell.spec('prompt', payload='x' * 500_000) for _ in range(30)]
+        answers = [await cell.submit(spec) for spec in large]
+        assert answers[-1].reason == 'queue_full'
+        cell.closed = set()
+        cell.list_hosts()
+        for spec in large[:10]:
+            assert (await cell.final(spec.request_id)).state == 'finished'
+        after = await cell.submit(cell.spec('prompt', payload='x' * 500_000))
+        assert after.state == 'accepted'
+
+    simulate(scenario)
--- /dev/null
+++ b/packages/currantreach-daemon/tests/test_recovery.py
@@ -0,0 +1,151 @@
+"""Tests of what a successor makes of the journal and the inventories."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from currantreach_types import TaskPhase
+
+
+def test_links_wait_for_journal(simulate):
+    """Workers are adopted before the journal is read, so all work stops."""
+
+    async def scenario(cell):
+        once = cell.spec(is_unrepeatable=True, expected_run_s=20)
+        again = cell.spec(expected_run_s=20)
+        for spec in (once, again):
+            await cell.submit(spec)
+        await asyncio.sleep(1)
+        await cell.stop_owner()
+        cell.journal.is_down = True
+        cell.new_owner()
+        await asyncio.sleep(5)
+        cell.journal.is_down = False
+        for spec in (once, again):
+            assert (await cell.final(spec.request_id)).state == 'finished'
+            assert cell.start_count(spec.request_id) == 1
+
+    simulate(scenario)
+
+
+@pytest.mark.parametrize('is_restarted', [True, False])
+def test_intent(simulate, is_restarted):
+    """A recorded intent is taken for no start after a restart (P7)."""
+
+    async def scenario(cell):
+        for worker in cell.list():
+            worker.delays['start', 'effect'] = asyncio.Event()
+        spec = cell.spec(is_unrepeatable=True)
+        await cell.submit(spec)
+        await asyncio.sleep(0.5)
+        await cell.stop_owner()
+        for worker in cell.list():
+            worker.delays.clear()
+            if is_restarted:
+                worker.clear()
+        cell.new_owner()
+        answer = await cell.final(spec.request_id)
+        expected = 'unknown' if is_restarted else 'finished'
+        assert answer.state == expected
+        assert cell.start_count(spec.request_id) == 1 - is_restarted
+
+    simulate(scenario)
+
+
+@pytest.mark.parametrize('is_unrepeatable', [True, False])
+def test_unadopted_worker(simulate, is_unrepeatable):
+    """Work on a worker that cannot be adopted runs in two places (P2)."""
+
+    async def scenario(cell):
+        spec = cell.spec(is_unrepeatable=is_unrepeatable, expected_run_s=50)
+        await cell.submit(spec)
+        await asyncio.sleep(1)
+        await cell.stop_owner()
+        worker = cell.workers[cell.places(spec.request_id)[0]]
+        worker.is_cut = True
+        cell.new_owner()
+        await asyncio.sleep(25)
+        assert cell.start_count(spec.request_id) == 1
+        answer = await cell.final(spec.request_id, 90)
+        expected = 'unknown' if is_unrepeatable else 'finished'
+        assert answer.state == expected
+
+    simulate(scenario)
+
+
+def test_old_run_on_first_worker(simulate):
+    """The end of an old run starts work again that runs elsewhere (P2)."""
+
+    async def scenario(cell):
+        spec = cell.spec(expected_run_s=40)
+        await cell.submit(spec)
+        await asyncio.sleep(1)
+        old = cell.workers[cell.places(spec.request_id)[0]]
+        other = next(known for known in cell.list() if known is not old)
+        cell.closed = {old.name}
+        cell.list_hosts()
+        old.dropped['retire'] = 9
+        old.end(f'{spec.request_id}/0', TaskPhase.stopped)
+        await asyncio.sleep(1)
+        assert cell.places(spec.request_id) == [other.name]
+        await cell.stop_owner()
+        cell.closed = set()
+        other.dropped['adopt'] = 2
+        cell.new_owner()
+        assert (await cell.final(spec.request_id)).state == 'finished'
+        assert cell.start_count(spec.request_id) == 2
+
+    simulate(scenario)
+
+
+def test_unrepeatable_gang(simulate):
+    """A gang that ended in part runs again after a takeover (P7)."""
+
+    async def scenario(cell):
+        spec = cell.spec('gang', gang_size=8, is_unrepeatable=True)
+        await cell.submit(spec)
+        await asyncio.sleep(1)
+        await cell.stop_owner()
+        cell.workers['w0'].clear()
+        await asyncio.sleep(7)
+        cell.new_owner()
+        answer = await cell.final(spec.request_id)
+        assert answer.state == 'unknown'
+        names = [name for _, name in cell.starts]
+        assert len(names) == len(set(names))
+
+    simulate(scenario)
+
+
+def test_prompt_found_on_worker(simulate):
+    """A prompt request that runs is forgotten by the successor (P5)."""
+
+    async def scenario(cell):
+        spec = cell.spec('prompt', expected_run_s=5)
+        await cell.submit(spec)
+        await asyncio.sleep(1)
+        await cell.replace_owner()
+        await asyncio.sleep(1)
+        assert (await cell.submit(spec)).state == 'running'
+        assert (await cell.final(spec.request_id)).state == 'finished'
+        assert cell.start_count(spec.request_id) == 1
+
+    simulate(scenario)
+
+
+def test_ended_work_keeps_its_answer(simulate):
+    """A successor runs work again whose end is in the journal."""
+
+    async def scenario(cell):
+        spec = cell.spec(expected_run_s=1)
+        await cell.submit(spec)
+        answer = await cell.final(spec.request_id)
+        await cell.replace_owner()
+        await asyncio.sleep(1)
+        assert (await cell.final(spec.request_id)).output == answer.output
+        assert (await cell.submit(spec)).state == 'finished'
+        assert cell.start_count(spec.request_id) == 1
+
+    simulate(scenario)
