--- a/proofs/_load.py
+++ b/proofs/_load.py
@@ -81,7 +81,10 @@
 
 
 class Load:
-    """Sends requests and keeps what their callers were told."""
+    """Sends requests and keeps what their callers were told.
+
+    :ivar failed_workers: workers that died or froze beyond the task lease.
+    """
 
     def __init__(
         self,
@@ -98,6 +101,7 @@
             cell.keys,
             seed,
         )
+        self.failed_workers: set[str] = set()
         self._running: list[asyncio.Task[Any]] = []
         self._count = 0
 
@@ -147,6 +151,7 @@
             self.cell.worker_logs(),
             self.sent,
             self.cell.upper_limits(),
+            self.failed_workers,
         )
 
     async def _stream(self, duration_s: float) -> None:
--- a/testbed/_cell.py
+++ b/testbed/_cell.py
@@ -81,7 +81,9 @@
 
     async def __aenter__(self) -> Cell:
         """Start all processes and apply the configuration."""
-        self.session = aiohttp.ClientSession()
+        # Long polls must not keep other calls waiting for a connection.
+        connector = aiohttp.TCPConnector(limit=0)
+        self.session = aiohttp.ClientSession(connector=connector)
         try:
             await self._start()
         except BaseException:
--- a/testbed/_checker.py
+++ b/testbed/_checker.py
@@ -14,7 +14,7 @@
 
 if TYPE_CHECKING:
     import pathlib
-    from collections.abc import Iterable, Mapping, Sequence
+    from collections.abc import Collection, Iterable, Mapping, Sequence
 
     from testbed._caller import Sent
 
@@ -53,8 +53,13 @@
     paths: Iterable[pathlib.Path],
     sent: Sequence[Sent],
     upper_limits: Mapping[str, Mapping[str, int]],
+    failed_workers: Collection[str] = (),
 ) -> Findings:
-    """Check the logs of all workers against the records of the callers."""
+    """Check the logs of all workers against the records of the callers.
+
+    :param failed_workers: workers that died or froze beyond the task lease;
+        unrepeatable work that they ran last may end as unknown.
+    """
     events = sorted(_read(paths), key=lambda event: event['wall_s'])
     findings = Findings()
     by_id = {known.request_id: known for known in sent if known.request_id}
@@ -64,7 +69,17 @@
         for event in events
         if event['event'] == 'start'
     )
-    _check_callers(sent, starts, findings)
+    last_workers = {
+        event['task_id'].rpartition('/')[0]: event['worker']
+        for event in events
+        if event['event'] == 'start'
+    }
+    excused = {
+        request_id
+        for request_id, worker in last_workers.items()
+        if worker in failed_workers and _is_unrepeatable(request_id, by_id)
+    }
+    _check_callers(sent, starts, excused, findings)
     _check_limits(events, by_id, upper_limits, findings)
     return findings
 
@@ -92,7 +107,10 @@
         elif event['event'] == 'end':
             running.pop(task_id, None)
         else:
-            is_again = task_id in started and _is_unrepeatable(task_id, by_id)
+            request_id = task_id.rpartition('/')[0]
+            is_again = task_id in started and _is_unrepeatable(
+                request_id, by_id
+            )
             if task_id in running or is_again:
                 findings.doubled.append(
                     f'{task_id} on {running.get(task_id)} and {worker}',
@@ -101,14 +119,15 @@
             started.add(task_id)
 
 
-def _is_unrepeatable(task_id: str, by_id: Mapping[str, Sent]) -> bool:
-    sent = by_id.get(task_id.rpartition('/')[0])
+def _is_unrepeatable(request_id: str, by_id: Mapping[str, Sent]) -> bool:
+    sent = by_id.get(request_id)
     return sent is not None and sent.body.get('is_unrepeatable', False)
 
 
 def _check_callers(
     sent: Sequence[Sent],
     starts: Mapping[str, int],
+    excused: Collection[str],
     findings: Findings,
 ) -> None:
     for known in sent:
@@ -116,6 +135,8 @@
             findings.untruthful.append(known.request_id)
         if known.state == 'finished':
             _check_output(known, findings)
+        elif known.state == 'unknown' and known.request_id in excused:
+            continue
         elif _is_lost(known):
             findings.lost.append(f'{known.request_id} {known.state}')
 
