Tell no state of work when a question about it is refused

Cause: a daemon that could not check a key, for instance just after its restart without a configuration, answered GET /v1/requests/<id>/answer with state not_run although the work had run or was running. The same happened for cancellations, lists and questions over the connection limit.

Change: such refusals keep their reason, remedy and HTTP status, and tell the state as unknown.

--- a/packages/currantreach-daemon/src/currantreach_daemon/_callers.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_callers.py
@@ -24,6 +24,7 @@
     authorization_of,
     json_response,
     read_body,
+    unanswered_response,
 )
 from currantreach_daemon._requests import body_hash_of, not_run_answer
 from currantreach_types import (
@@ -126,7 +127,7 @@
         """Cancel one request."""
         team = self._team_of(request)
         if isinstance(team, Refusal):
-            return self._refused('', team)
+            return self._unanswered(request.match_info['id'], team)
         answers = await self._router.cancel((request.match_info['id'],), team)
         return json_response(answers[0])
 
@@ -139,7 +140,7 @@
             )
         team = self._team_of(request)
         if isinstance(team, Refusal):
-            return self._refused('', team)
+            return self._unanswered('', team)
         answers = await self._router.cancel(body.request_ids, team)
         return json_response(AnswersBody(requests=answers))
 
@@ -147,7 +148,7 @@
         """List the requests of the key's team."""
         team = self._team_of(request)
         if isinstance(team, Refusal):
-            return self._refused('', team)
+            return self._unanswered('', team)
         answers = await self._router.list_requests(team)
         return json_response(AnswersBody(requests=answers))
 
@@ -181,7 +182,7 @@
     ) -> web.Response:
         team = self._team_of(request)
         if isinstance(team, Refusal):
-            return self._refused('', team)
+            return self._unanswered(request.match_info['id'], team)
         request_id = request.match_info['id']
         RequestId.parse(request_id)
         with self._gate.counted(team):
@@ -227,6 +228,10 @@
                 return queue.open_team
         return refusals.KEY_MISSING
 
+    def _unanswered(self, request_id: str, refusal: Refusal) -> web.Response:
+        self._metrics.refused(refusal.reason)
+        return unanswered_response(not_run_answer(request_id, refusal))
+
     def _refused(
         self,
         request_id: str,
--- a/packages/currantreach-daemon/src/currantreach_daemon/_http_errors.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_http_errors.py
@@ -56,6 +56,7 @@
             return self._refused(
                 refusals.CONNECTION_LIMIT,
                 HTTPStatus.SERVICE_UNAVAILABLE,
+                is_question=request.method == 'GET',
             )
         try:
             return await handler(request)
@@ -90,10 +91,15 @@
         refusal: Refusal,
         status: HTTPStatus,
         text: str = '',
+        *,
+        is_question: bool = False,
     ) -> web.Response:
         self._metrics.refused(refusal.reason)
         log_event('request_end', state='not_run', reason=refusal.reason)
         answer = not_run_answer('', refusal)
+        if is_question:
+            # The work that it asks for may have run.
+            answer = attrs.evolve(answer, state=RequestState.unknown)
         if text:
             answer = attrs.evolve(answer, remedy=f'{answer.remedy}: {text}')
         response = json_response(answer, status)
--- a/packages/currantreach-daemon/src/currantreach_daemon/_replies.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_replies.py
@@ -7,6 +7,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+import attrs
 from aiohttp import web
 
 from currantreach_types import RequestState, encode_json, refusals
@@ -20,6 +21,7 @@
     'authorization_of',
     'json_response',
     'read_body',
+    'unanswered_response',
 )
 
 _BODY_TIMEOUT_S = 5
@@ -75,6 +77,18 @@
     return response
 
 
+def unanswered_response(answer: Answer) -> web.Response:
+    """Return a refusal of a call that asks for work sent earlier.
+
+    The work may have run although the question is refused, so the state is
+    not told as "not run".
+    """
+    response = answer_response(answer)
+    unknown = attrs.evolve(answer, state=RequestState.unknown)
+    response.body = encode_json(unknown)
+    return response
+
+
 def _status_of(answer: Answer) -> HTTPStatus:
     if answer.state in {RequestState.accepted, RequestState.running}:
         return HTTPStatus.ACCEPTED
