Recognise an applied change after others came on top of it

Cause: an operator whose answer was lost repeated the change with its id. If another change had come in between, the repeat was told that it had lost to that one, although it had been accepted.

Change: before a conflict is told, the history is searched for the change id.

Result: proofs/test_configuration.py::test_lost_answer_to_apply was told 409 with the other operator as author before, and 200 with its own revision after.

--- a/packages/currantreach-daemon/src/currantreach_daemon/_config_admin.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_config_admin.py
@@ -175,7 +175,7 @@
                 author=author,
             )
         if following.revision != body.expected_revision + 1:
-            return _lost_to(record)
+            return await self._earlier_or_lost(body.change_id)
         return await self._write(following)
 
     async def list_keys(
@@ -256,6 +256,14 @@
             return refusals.KEY_OTHER_TEAM
         return key.key_id
 
+    async def _earlier_or_lost(self, change_id: str) -> web.Response:
+        """Recognise a change whose answer was lost before others came."""
+        if change_id:
+            for accepted in await self._keeper.history():
+                if accepted.change_id == change_id:
+                    return await self._confirm(accepted.revision)
+        return _lost_to(self._keeper.record)
+
     async def _write(self, record: ConfigRecord) -> web.Response:
         try:
             await self._keeper.write(record, record.revision - 1)
