--- a/proofs/_load.py
+++ b/proofs/_load.py
@@ -81,7 +81,10 @@
 
 
 class Load:
-    """Sends requests and keeps what their callers were told."""
+    """Sends requests and keeps what their callers were told.
+
+    :ivar failed_workers: workers that died or froze beyond the task lease.
+    """
 
     def __init__(
         self,
@@ -98,6 +101,7 @@
             cell.keys,
             seed,
         )
+        self.failed_workers: set[str] = set()
         self._running: list[asyncio.Task[Any]] = []
         self._count = 0
 
@@ -147,6 +151,7 @@
             self.cell.worker_logs(),
             self.sent,
             self.cell.upper_limits(),
+            self.failed_workers,
         )
 
     async def _stream(self, duration_s: float) -> None:
@@ -155,7 +160,7 @@
                 group.create_task(self._repeat(kind, rate, duration_s))
 
     async def _repeat(self, kind: Kind, rate: float, duration_s: float) -> None:
-        for _number in range(round(rate * duration_s)):
+        for _ in range(round(rate * duration_s)):
             self.send(kind)
             await asyncio.sleep(1 / rate)
 
