Test gangs, preemption, quarantine and observed use

Cause: random fleets seldom reach these rules. Change: five focused tests, one for each failure they guard against.

--- /dev/null
+++ b/packages/currantreach-decisions/tests/test_policies.py
@@ -0,0 +1,134 @@
+"""Rules of the indexed scheduler that a random fleet seldom reaches."""
+
+from __future__ import annotations
+
+import pytest
+from currantreach_decisions import IndexedScheduler, TaskEnd, TeamTerms
+from currantreach_types import PolicyKind, Resources, TaskSpec, WorkerInfo
+
+CAPACITY = Resources(4, 4000, 4096, 0, 64)
+UNIT = Resources(1, 1000, 1024, 0, 1)
+
+
+@pytest.fixture
+def scheduler():
+    """Return a scheduler with four workers in two racks."""
+    cell = IndexedScheduler()
+    terms = TeamTerms(share=1, allotment=CAPACITY.times(4))
+    cell.set_teams({'north': terms, 'south': terms})
+    for index in range(4):
+        worker = WorkerInfo(
+            name=f'worker-{index}',
+            failure_domain='north',
+            rack='a' if index < 2 else 'b',
+            url='',
+            capacity=CAPACITY,
+        )
+        cell.set_worker(worker, is_open=True)
+    return cell
+
+
+def spec(name, policy=PolicyKind.batch, team='north', **terms):
+    """Return a request of one unit."""
+    return TaskSpec(
+        request_id=name,
+        team=team,
+        queue=policy.value,
+        workload=terms.pop('workload', 'scan'),
+        policy=policy,
+        resources=UNIT,
+        **terms,
+    )
+
+
+def only(decided):
+    """Return the one decision that is expected."""
+    assert len(decided) == 1
+    return decided[0]
+
+
+def fill(scheduler, count, now_s=0, **terms):
+    """Start single tasks and return their ids."""
+    for index in range(count):
+        scheduler.submit(spec(f'fill-{index}', **terms), now_s)
+    return [each.task_id for each in scheduler.decide(now_s).placements]
+
+
+def test_two_gangs_do_not_block_each_other(scheduler):
+    """Guard against gangs that each hold half of the fleet for ever."""
+    tasks = fill(scheduler, 16)
+    assert len(tasks) == 16
+    for team in ('north', 'south'):
+        gang = spec(team, PolicyKind.gang, team, gang_size=12)
+        assert scheduler.submit(gang, 1) is None
+    started = []
+    for now_s, task_id in enumerate(tasks, start=2):
+        scheduler.end_task(task_id, TaskEnd.finished, now_s)
+        started += scheduler.decide(now_s).placements
+    first = {each.spec.request_id for each in started}
+    assert len(first) == 1
+    for placement in started:
+        scheduler.end_task(placement.task_id, TaskEnd.finished, 50)
+    second = scheduler.decide(51).placements
+    assert first | {each.spec.request_id for each in second} == {
+        'north',
+        'south',
+    }
+
+
+def test_urgent_work_preempts_batch_but_no_service(scheduler):
+    """Guard against urgent work that waits for batch, and lost services."""
+    fill(scheduler, 12, policy=PolicyKind.service)
+    batch = {f'batch-{index}/0' for index in range(4)}
+    for task_id in batch:
+        scheduler.submit(spec(task_id[:-2]), 0)
+    assert len(scheduler.decide(0).placements) == 4
+    scheduler.submit(spec('urgent', team='south', is_urgent=True), 20)
+    scheduler.decide(20)
+    preemption = only(scheduler.decide(20.5).preemptions)
+    assert preemption.task_id in batch
+    scheduler.end_task(preemption.task_id, TaskEnd.checkpointed, 21)
+    placement = only(scheduler.decide(21).placements)
+    assert placement.spec.request_id == 'urgent'
+
+
+def test_worker_that_fails_everything_is_quarantined(scheduler):
+    """Guard against a worker that swallows all tasks by failing fast."""
+    now_s = 0
+    for index in range(6):
+        constraints = {'worker': 'worker-0'}
+        workload = f'job-{index}'
+        scheduler.submit(
+            spec(workload, workload=workload, constraints=constraints),
+            now_s,
+        )
+        for placement in scheduler.decide(now_s).placements:
+            scheduler.end_task(placement.task_id, TaskEnd.failed, now_s)
+    assert scheduler.waiting_count() == 3
+    probe = only(scheduler.decide(11).placements)
+    scheduler.end_task(probe.task_id, TaskEnd.finished, 12)
+    assert len(scheduler.decide(13).placements) == 2
+
+
+def test_job_that_fails_everywhere_is_refused(scheduler):
+    """Guard against healthy workers that are blamed for a bad job."""
+    for index in range(3):
+        constraints = {'worker': f'worker-{index}'}
+        scheduler.submit(spec(f'bad-{index}', constraints=constraints), 0)
+        placement = only(scheduler.decide(0).placements)
+        scheduler.end_task(placement.task_id, TaskEnd.failed, 0)
+    refusal = scheduler.submit(spec('bad-3'), 1)
+    assert refusal.reason == 'repeated_failure'
+    assert scheduler.submit(spec('good', workload='other'), 1) is None
+    assert len(scheduler.decide(1).placements) == 1
+
+
+def test_observed_use_shrinks_free_room(scheduler):
+    """Guard against new tasks beside one that outgrew its room."""
+    constraints = {'worker': 'worker-0'}
+    scheduler.submit(spec('large', constraints=constraints), 0)
+    placement = only(scheduler.decide(0).placements)
+    scheduler.observe(placement.task_id, CAPACITY.times(2), 1)
+    scheduler.submit(spec('next', constraints=constraints), 1)
+    assert not scheduler.decide(1).placements
+    assert 'room' in scheduler.explain('next', 1)
