--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -9,13 +9,14 @@
 import time
 import types
 
+from currantreach_decisions import IndexedScheduler
+
 from bench.quick import QuickNaiveScheduler
 from bench.replay import Replay
 from bench.report import Sampler, figures, lost_deadlines, say
 from bench.rules import RULES, switch_off
 from bench.scaling import scaling
 from bench.workload import DEPLOYMENTS, arrivals
-from currantreach_decisions import IndexedScheduler
 
 SCHEDULERS = types.MappingProxyType(
     {'naive': QuickNaiveScheduler, 'indexed': IndexedScheduler},
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -9,17 +9,18 @@
 from typing import TYPE_CHECKING
 
 import attrs
+from currantreach_decisions import TaskEnd
 
 from bench.workload import LENGTH_S, Arrival
-from currantreach_decisions import TaskEnd
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from bench.workload import Deployment
     from currantreach_decisions import Placement, Scheduler
     from currantreach_types import Refusal, Resources
 
+    from bench.workload import Deployment
+
     _Event = Callable[[], None]
 
 TICK_S = 0.1
--- a/bench/report.py
+++ b/bench/report.py
@@ -5,9 +5,10 @@
 import sys
 from typing import TYPE_CHECKING
 
-from bench.workload import TEAMS
 from currantreach_types import Resources
 
+from bench.workload import TEAMS
+
 if TYPE_CHECKING:
     from bench.replay import Replay, Request
     from bench.workload import Deployment
--- a/bench/scaling.py
+++ b/bench/scaling.py
@@ -6,10 +6,10 @@
 import time
 
 import attrs
+from currantreach_decisions import IndexedScheduler, TaskEnd, TeamTerms
 
 from bench.report import quantile, say
 from bench.workload import DEPLOYMENTS, constant_sizes
-from currantreach_decisions import IndexedScheduler, TaskEnd, TeamTerms
 
 FLEET_SIZES = (24, 200, 1300)
 WAITING = 50000
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -11,7 +11,6 @@
 from typing import Any
 
 import attrs
-
 from currantreach_decisions import TeamTerms
 from currantreach_types import PolicyKind, Resources, TaskSpec, WorkerInfo
 
--- a/packages/currantreach-decisions/src/currantreach_decisions/_estimates.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_estimates.py
@@ -6,14 +6,15 @@
 from typing import TYPE_CHECKING
 
 import attrs
+from currantreach_types import Resources
 
 from currantreach_decisions._ledger import EMPTY
-from currantreach_types import Resources
 
 if TYPE_CHECKING:
+    from currantreach_types import TaskSpec
+
     from currantreach_decisions._lanes import Waiting
     from currantreach_decisions._ledger import Ledger
-    from currantreach_types import TaskSpec
 
 __all__ = ('Estimator', 'Sizing')
 
--- a/packages/currantreach-decisions/src/currantreach_decisions/_fleet.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_fleet.py
@@ -11,9 +11,10 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from currantreach_decisions._ledger import WorkerRoom
     from currantreach_types import Resources, TaskSpec
 
+    from currantreach_decisions._ledger import WorkerRoom
+
 __all__ = ('Fleet',)
 
 # Pools are built for the constraints in use; the least recently used goes.
--- a/packages/currantreach-decisions/src/currantreach_decisions/_indexed.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_indexed.py
@@ -5,6 +5,12 @@
 import heapq
 from typing import TYPE_CHECKING
 
+from currantreach_types import PolicyKind
+from currantreach_types.refusals import (
+    DEADLINE_UNREACHABLE,
+    REPEATED_FAILURE,
+)
+
 from currantreach_decisions._estimates import Estimator, Sizing
 from currantreach_decisions._fleet import Fleet
 from currantreach_decisions._health import Health
@@ -20,15 +26,17 @@
 from currantreach_decisions._scheduler import TaskEnd
 from currantreach_decisions._server import Round, Server
 from currantreach_decisions._shares import Shares
-from currantreach_types import PolicyKind
-from currantreach_types.refusals import (
-    DEADLINE_UNREACHABLE,
-    REPEATED_FAILURE,
-)
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from currantreach_types import (
+        Refusal,
+        Resources,
+        TaskSpec,
+        WorkerInfo,
+    )
+
     from currantreach_decisions._lanes import Waiting
     from currantreach_decisions._ledger import PlacedTask, WorkerRoom
     from currantreach_decisions._scheduler import (
@@ -36,12 +44,6 @@
         Placement,
         TeamTerms,
     )
-    from currantreach_types import (
-        Refusal,
-        Resources,
-        TaskSpec,
-        WorkerInfo,
-    )
 
 __all__ = ('IndexedScheduler',)
 
--- a/packages/currantreach-decisions/src/currantreach_decisions/_lanes.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_lanes.py
@@ -5,7 +5,6 @@
 import heapq
 
 import attrs
-
 from currantreach_types import Resources, TaskSpec
 
 __all__ = ('Bucket', 'Lane', 'Lanes', 'Waiting')
--- a/packages/currantreach-decisions/src/currantreach_decisions/_ledger.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_ledger.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 import attrs
-
 from currantreach_types import Resources, TaskSpec, WorkerInfo
 
 if TYPE_CHECKING:
--- a/packages/currantreach-decisions/src/currantreach_decisions/_naive.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_naive.py
@@ -4,15 +4,17 @@
 
 from typing import TYPE_CHECKING
 
+from currantreach_types.refusals import DEADLINE_UNREACHABLE
+
 from currantreach_decisions._queued import QueuedScheduler
 from currantreach_decisions._scheduler import Decisions
-from currantreach_types.refusals import DEADLINE_UNREACHABLE
 
 if TYPE_CHECKING:
+    from currantreach_types import Refusal, Resources, TaskSpec
+
     from currantreach_decisions._lanes import Waiting
     from currantreach_decisions._ledger import PlacedTask, WorkerRoom
     from currantreach_decisions._scheduler import Placement
-    from currantreach_types import Refusal, Resources, TaskSpec
 
 __all__ = ('NaiveScheduler',)
 
--- a/packages/currantreach-decisions/src/currantreach_decisions/_placer.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_placer.py
@@ -11,13 +11,14 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from currantreach_types import Resources
+
     from currantreach_decisions._fleet import Fleet
     from currantreach_decisions._lanes import Waiting
     from currantreach_decisions._ledger import WorkerRoom
     from currantreach_decisions._policies import PolicyRegistry
     from currantreach_decisions._reservation import Reservation
     from currantreach_decisions._reserve import PromptReserve
-    from currantreach_types import Resources
 
 __all__ = ('Placer',)
 
--- a/packages/currantreach-decisions/src/currantreach_decisions/_policies.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_policies.py
@@ -7,17 +7,19 @@
 import math
 from typing import TYPE_CHECKING
 
+from currantreach_types import PolicyKind
+
 from currantreach_decisions._shares import dominant_share
 from currantreach_decisions._spread import Spread
-from currantreach_types import PolicyKind
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
+    from currantreach_types import Resources, TaskSpec
+
     from currantreach_decisions._lanes import Waiting
     from currantreach_decisions._ledger import WorkerRoom
     from currantreach_decisions._pool import Pool
-    from currantreach_types import Resources, TaskSpec
 
 __all__ = (
     'BatchPolicy',
--- a/packages/currantreach-decisions/src/currantreach_decisions/_pool.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_pool.py
@@ -9,9 +9,10 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
-    from currantreach_decisions._ledger import WorkerRoom
     from currantreach_types import Resources
 
+    from currantreach_decisions._ledger import WorkerRoom
+
 __all__ = ('Pool',)
 
 _Amounts = tuple[int, int, int, int, int]
--- a/packages/currantreach-decisions/src/currantreach_decisions/_preemption.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_preemption.py
@@ -6,11 +6,11 @@
 from typing import TYPE_CHECKING
 
 import attrs
+from currantreach_types import Resources
 
 from currantreach_decisions._ledger import PlacedTask, WorkerRoom, unit_count
 from currantreach_decisions._scheduler import Preemption
 from currantreach_decisions._shares import dominant_share
-from currantreach_types import Resources
 
 if TYPE_CHECKING:
     from currantreach_decisions._lanes import Waiting
--- a/packages/currantreach-decisions/src/currantreach_decisions/_queued.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_queued.py
@@ -5,9 +5,6 @@
 import abc
 from typing import TYPE_CHECKING
 
-from currantreach_decisions._lanes import Waiting
-from currantreach_decisions._ledger import Ledger
-from currantreach_decisions._scheduler import Placement, Scheduler
 from currantreach_types import task_id
 from currantreach_types.refusals import (
     DEADLINE_UNREACHABLE,
@@ -16,12 +13,17 @@
     TEAM_UNKNOWN,
 )
 
+from currantreach_decisions._lanes import Waiting
+from currantreach_decisions._ledger import Ledger
+from currantreach_decisions._scheduler import Placement, Scheduler
+
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
+    from currantreach_types import Refusal, Resources, TaskSpec, WorkerInfo
+
     from currantreach_decisions._ledger import PlacedTask
     from currantreach_decisions._scheduler import TaskEnd, TeamTerms
-    from currantreach_types import Refusal, Resources, TaskSpec, WorkerInfo
 
 __all__ = ('QueuedScheduler',)
 
--- a/packages/currantreach-decisions/src/currantreach_decisions/_reservation.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_reservation.py
@@ -5,15 +5,17 @@
 import itertools
 from typing import TYPE_CHECKING
 
-from currantreach_decisions._ledger import EMPTY, unit_count
 from currantreach_types import PolicyKind
 
+from currantreach_decisions._ledger import EMPTY, unit_count
+
 if TYPE_CHECKING:
+    from currantreach_types import Resources
+
     from currantreach_decisions._estimates import Estimator
     from currantreach_decisions._fleet import Fleet
     from currantreach_decisions._lanes import Waiting
     from currantreach_decisions._ledger import Ledger, PlacedTask, WorkerRoom
-    from currantreach_types import Resources
 
 __all__ = ('Reservation',)
 
--- a/packages/currantreach-decisions/src/currantreach_decisions/_reserve.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_reserve.py
@@ -5,9 +5,10 @@
 import math
 from typing import TYPE_CHECKING
 
-from currantreach_decisions._ledger import EMPTY
 from currantreach_types import Resources
 
+from currantreach_decisions._ledger import EMPTY
+
 if TYPE_CHECKING:
     from currantreach_decisions._fleet import Fleet
 
--- a/packages/currantreach-decisions/src/currantreach_decisions/_scheduler.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_scheduler.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 
 import attrs
-
 from currantreach_types import Refusal, Resources, TaskSpec, WorkerInfo
 
 if TYPE_CHECKING:
--- a/packages/currantreach-decisions/src/currantreach_decisions/_server.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_server.py
@@ -6,24 +6,25 @@
 from typing import TYPE_CHECKING
 
 import attrs
+from currantreach_types import Refusal
 
 from currantreach_decisions._scheduler import (
     Decisions,
     Placement,
     Preemption,
 )
-from currantreach_types import Refusal
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from currantreach_types import Resources
+
     from currantreach_decisions._estimates import Sizing
     from currantreach_decisions._fleet import Fleet
     from currantreach_decisions._lanes import Bucket, Lane, Lanes, Waiting
     from currantreach_decisions._ledger import Ledger, WorkerRoom
     from currantreach_decisions._placer import Placer
     from currantreach_decisions._shares import Shares
-    from currantreach_types import Resources
 
     _Hopeful = tuple[
         float,
--- a/packages/currantreach-decisions/src/currantreach_decisions/_shares.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_shares.py
@@ -5,9 +5,10 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from currantreach_decisions._ledger import Ledger
     from currantreach_types import Resources
 
+    from currantreach_decisions._ledger import Ledger
+
 __all__ = ('Shares', 'dominant_share')
 
 
--- a/packages/currantreach-decisions/src/currantreach_decisions/_spread.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_spread.py
@@ -8,9 +8,10 @@
 from currantreach_types import PolicyKind
 
 if TYPE_CHECKING:
-    from currantreach_decisions._ledger import PlacedTask, WorkerRoom
     from currantreach_types import TaskSpec
 
+    from currantreach_decisions._ledger import PlacedTask, WorkerRoom
+
 __all__ = ('Spread',)
 
 
--- a/packages/currantreach-decisions/tests/test_accounts.py
+++ b/packages/currantreach-decisions/tests/test_accounts.py
@@ -3,6 +3,14 @@
 from __future__ import annotations
 
 import pytest
+from currantreach_decisions import (
+    IndexedScheduler,
+    NaiveScheduler,
+    Placement,
+    TaskEnd,
+    TeamTerms,
+)
+from currantreach_types import PolicyKind, Resources, TaskSpec, WorkerInfo
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -13,15 +21,6 @@
     run_state_machine_as_test,
 )
 
-from currantreach_decisions import (
-    IndexedScheduler,
-    NaiveScheduler,
-    Placement,
-    TaskEnd,
-    TeamTerms,
-)
-from currantreach_types import PolicyKind, Resources, TaskSpec, WorkerInfo
-
 CAPACITY = Resources(4, 4000, 4096, 1, 8)
 LIMIT = Resources(6, 6000, 8192, 2, 0)
 TEAMS = ('north', 'south')
--- a/packages/currantreach-decisions/tests/test_policies.py
+++ b/packages/currantreach-decisions/tests/test_policies.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import pytest
-
 from currantreach_decisions import IndexedScheduler, TaskEnd, TeamTerms
 from currantreach_types import PolicyKind, Resources, TaskSpec, WorkerInfo
 
--- a/packages/currantreach-decisions/tests/test_schedulers.py
+++ b/packages/currantreach-decisions/tests/test_schedulers.py
@@ -5,7 +5,6 @@
 import random
 
 import pytest
-
 from currantreach_decisions import (
     IndexedScheduler,
     NaiveScheduler,
