Test owners that follow each other with a state machine

Cause: the promises to callers depend on the order of faults, which single scenarios cover only in part.

Unrepeatable tasks start at most once, no task runs in two places, 'not run' implies no start, and accepted repeatable durable work finishes once the faults stop.

--- a/packages/currantreach-daemon/tests/conftest.py
+++ b/packages/currantreach-daemon/tests/conftest.py
@@ -473,7 +473,7 @@
             scheduler=IndexedScheduler({'batch': 50, 'short': 1}),
             journal=FakeJournal(self.journal, self.epoch),
             workers=self.client,
-            deadline_s=lambda: self.deadline_s,
+            deadline_s=self._deadline_of(self.epoch),
             task_lease_s=LEASE_S,
             unadopted_wait_s=LEASE_S + 4,
             **self.options,
@@ -533,6 +533,10 @@
                 return answer
             await asyncio.sleep(0.1)
 
+    def _deadline_of(self, epoch):
+        """Return a deadline that has passed once there is a successor."""
+        return lambda: self.deadline_s if epoch == self.epoch else 0
+
 
 @pytest.fixture
 def new_loop():
@@ -568,7 +572,8 @@
 @pytest.fixture
 def caught():
     """Return a function that lists the lines for ends of requests so far."""
-    with logbook.TestHandler() as records:
+    records = logbook.TestHandler()
+    with records.applicationbound():
         yield lambda: [
             record.message
             for record in records.records
--- /dev/null
+++ b/packages/currantreach-daemon/tests/test_owner_machine.py
@@ -0,0 +1,198 @@
+"""State machine over owners that follow each other under faults."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from hypothesis import settings, stateful
+from hypothesis import strategies as st
+
+from currantreach_types import Resources
+
+_NUMBERS = st.integers(0, 9)
+_CALLS = ('start', 'renew', 'stop', 'retire', 'adopt')
+
+
+class OwnerMachine(stateful.RuleBasedStateMachine):
+    """Requests, faults and successors, in any order."""
+
+    new_loop = None
+    new_cell = None
+
+    def __init__(self):
+        super().__init__()
+        self.runner = asyncio.Runner(loop_factory=self.new_loop)
+        self.cell = self.new_cell(self.runner.get_loop())
+        self.specs = []
+        self.accepted = {}
+        self.not_run = set()
+        self.runner.run(self.cell.ready())
+
+    def note(self, answers):
+        """Note what callers were told."""
+        for answer in answers:
+            if answer.state == 'not_run' and answer.reason != 'id_reused':
+                self.not_run.add(answer.request_id)
+
+    def pick(self, number):
+        """Return one of the requests."""
+        return self.specs[number % len(self.specs)]
+
+    @stateful.rule(
+        policy=st.sampled_from(['batch', 'prompt', 'gang']),
+        is_unrepeatable=st.booleans(),
+        run_s=st.sampled_from([0.01, 1, 20]),
+        waits=st.booleans(),
+    )
+    def submit(self, policy, is_unrepeatable, run_s, waits):
+        """Submit a request, and hang up or wait for the acceptance."""
+        spec = self.cell.spec(
+            policy,
+            is_unrepeatable=is_unrepeatable,
+            expected_run_s=run_s,
+            gang_size=3 if policy == 'gang' else 1,
+            deadline_s=5 if policy == 'prompt' else None,
+        )
+        self.specs.append(spec)
+        self.send(spec, waits)
+
+    @stateful.precondition(lambda machine: machine.specs)
+    @stateful.rule(number=_NUMBERS, waits=st.booleans())
+    def submit_again(self, number, waits):
+        """Repeat a submission."""
+        self.send(self.pick(number), waits)
+
+    def send(self, spec, waits):
+        """Submit to the present owner."""
+
+        async def sent():
+            submitted = asyncio.create_task(self.cell.submit(spec))
+            await asyncio.wait([submitted], timeout=1 if waits else 0.005)
+            submitted.cancel()
+            await asyncio.wait([submitted])
+            return None if submitted.cancelled() else submitted.result()
+
+        answer = self.runner.run(sent())
+        if answer is None:
+            return
+        self.note([answer])
+        if answer.state == 'accepted' and spec.policy != 'prompt':
+            self.accepted[spec.request_id] = spec
+
+    @stateful.precondition(lambda machine: machine.specs)
+    @stateful.rule(number=_NUMBERS)
+    def cancel(self, number):
+        """Cancel a request."""
+        request_id = self.pick(number).request_id
+        self.accepted.pop(request_id, None)
+
+        async def cancelled():
+            return self.cell.owner.cancel([request_id], 'tine')
+
+        self.note(self.runner.run(cancelled()))
+
+    @stateful.rule(step_s=st.sampled_from([0.002, 0.02, 0.3, 3, 12, 45]))
+    def advance(self, step_s):
+        """Let time pass."""
+        self.runner.run(asyncio.sleep(step_s))
+
+    @stateful.rule(name=st.sampled_from(['w0', 'w1']), is_cut=st.booleans())
+    def cut(self, name, is_cut):
+        """Cut a worker off, or reach it again."""
+        self.cell.workers[name].is_cut = is_cut
+
+    @stateful.rule(name=st.sampled_from(['w0', 'w1']))
+    def restart(self, name):
+        """Restart a worker."""
+        self.cell.workers[name].clear()
+
+    @stateful.rule(
+        name=st.sampled_from(['w0', 'w1']),
+        method=st.sampled_from(_CALLS),
+        fault=st.sampled_from(['lost', 'dropped']),
+    )
+    def lose(self, name, method, fault):
+        """Lose the next call, or the answer to it."""
+        getattr(self.cell.workers[name], fault)[method] = 1
+
+    @stateful.rule(fault=st.sampled_from(['down', 'lost', 'late']))
+    def fail_store(self, fault):
+        """Let the next write to the journal fail."""
+        self.cell.journal.faults.append(fault)
+
+    @stateful.rule(is_down=st.booleans())
+    def stop_store(self, is_down):
+        """Begin or end an outage of the store."""
+        self.cell.journal.is_down = is_down
+
+    @stateful.rule(is_killed=st.booleans())
+    def replace(self, is_killed):
+        """Let a successor take over from a dead or frozen owner."""
+
+        async def replaced():
+            if is_killed:
+                await self.cell.stop_owner()
+            self.cell.new_owner()
+
+        self.runner.run(replaced())
+
+    @stateful.invariant()
+    def promises_hold(self):
+        """Check what must hold at any time."""
+        assert not self.cell.faults
+        once = [spec for spec in self.specs if spec.is_unrepeatable]
+        for spec in once:
+            assert self.cell.start_count(spec.request_id) <= spec.gang_size
+            names = [
+                name
+                for _, name in self.cell.starts
+                if name.startswith(f'{spec.request_id}/')
+            ]
+            assert len(names) == len(set(names))
+        for request_id in self.not_run:
+            assert self.cell.start_count(request_id) == 0
+
+    def teardown(self):
+        """End the faults; accepted repeatable work must then finish."""
+        try:
+            self.runner.run(self.heal())
+            self.promises_hold()
+        finally:
+            self.runner.close()
+
+    async def heal(self):
+        """Wait for the end of all requests."""
+        self.cell.journal.is_down = False
+        self.cell.journal.faults.clear()
+        for worker in self.cell.list():
+            worker.is_cut = False
+            worker.lost.clear()
+            worker.dropped.clear()
+        await asyncio.sleep(90)
+        for spec in self.specs:
+            answer = await self.cell.final(spec.request_id, 200)
+            self.note([answer])
+            assert answer.state.is_final, (spec, answer)
+            if spec.request_id in self.accepted and not spec.is_unrepeatable:
+                assert answer.state == 'finished', (spec, answer)
+        assert not any(worker.running for worker in self.cell.list())
+        used = sum(self.cell.owner.usage().values(), Resources())
+        assert used == Resources()
+        await self.cell.stop_owner()
+
+
+@pytest.mark.timeout(300)
+def test_owner_machine(new_loop, new_cell):
+    """Faults in a bad order break a promise to callers (P1, P2, P6, P7)."""
+    machine = type(
+        'Machine',
+        (OwnerMachine,),
+        {'new_loop': new_loop, 'new_cell': new_cell},
+    )
+    stateful.run_state_machine_as_test(
+        machine,
+        settings=settings(
+            max_examples=60, stateful_step_count=25, deadline=None
+        ),
+    )
--- a/packages/currantreach-daemon/tests/test_requests.py
+++ b/packages/currantreach-daemon/tests/test_requests.py
@@ -133,6 +133,6 @@
     """Requests that failed together come back together."""
     delays_s = {retry_delay_s(str(number), 1) for number in range(100)}
     assert len(delays_s) == 100
-    assert min(delays_s) > 0.2
+    assert min(delays_s) * 10 > 2
     assert max(delays_s) < 1
     assert retry_delay_s('one', 1000) <= 10
