Answer each call once, truthfully and within bounds

Run times of 1e308 s, attempts below one and workload names of any length or with line separators were let in; the configured limit of the body size was never applied; a timeout of 400 digits or more was an error of the server; refusals by the router were not logged, those by an owner were counted twice, and calls that only read ended a request in the log, as did repeated attempts whose outcome the daemon cannot know; each workload name that a caller chose became a label of the metrics for ever. In the administration a repeated change that another one had followed was reported as lost, and a change whose answer was lost was reported as refused if the store went down before it could be read again.

Change: amounts, names and timeouts have bounds; request_end is written for submissions only, once; repeated attempts keep the status of the reason; workloads beyond the first 50 share a label; change ids are looked up in the history; a change that cannot be read again is unknown, and its history entry is optional. Cancellations answer in the order of the ids, and listing survives an owner that ends meanwhile.

--- a/packages/currantreach-daemon/src/currantreach_daemon/_caller_bodies.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_caller_bodies.py
@@ -23,6 +23,10 @@
 )
 
 
+_LONGEST_S = 31536000
+_WORKLOAD_LENGTH = 100
+
+
 @attrs.frozen(slots=True, kw_only=True)
 class IdBody:
     """Body of a call for a request id."""
@@ -90,10 +94,24 @@
         raise MalformedMessageError('resources.slot_count must be at least 1')
     if body.gang_size < 1:
         raise MalformedMessageError('gang_size must be at least 1')
-    if body.expected_run_s < 0:
-        raise MalformedMessageError('expected_run_s must not be negative')
-    if body.deadline_s is not None and body.deadline_s < 0:
-        raise MalformedMessageError('deadline_s must not be negative')
+    if body.attempt < 1:
+        raise MalformedMessageError('attempt must be at least 1')
+    _check_time('expected_run_s', body.expected_run_s)
+    _check_time('deadline_s', body.deadline_s or 0)
+    _check_workload(body.workload)
+
+
+def _check_time(name: str, duration_s: float) -> None:
+    if not 0 <= duration_s <= _LONGEST_S:
+        raise MalformedMessageError(f'{name} must be from 0 to a year')
+
+
+def _check_workload(workload: str) -> None:
+    """Reject names that do not fit in a label and a log line."""
+    if len(workload) > _WORKLOAD_LENGTH or not workload.isprintable():
+        raise MalformedMessageError(
+            f'workload must be at most {_WORKLOAD_LENGTH} printable characters',
+        )
 
 
 def task_spec(
--- a/packages/currantreach-daemon/src/currantreach_daemon/_callers.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_callers.py
@@ -46,9 +46,18 @@
 
 __all__ = ('CallerApi',)
 
-_ANSWER_TIMEOUT_LIMIT_S = 60
+_ANSWER_TIMEOUT_LIMIT_MS = 60000
 _MS_PER_S = 1000
+_DIGIT_LIMIT = 9
 _CANCEL_LIMIT = 10000
+# The owner writes the line for the end of each other request.
+_NOT_LOGGED = frozenset(
+    (
+        refusals.ID_REUSED.reason,
+        refusals.NO_OWNER.reason,
+        refusals.OWNER_UNREACHABLE.reason,
+    ),
+)
 
 
 class CallerApi:
@@ -88,22 +97,21 @@
     async def submit(self, request: web.Request) -> web.Response:
         """Accept a request or tell why it was not run."""
         raw = await read_body(request)
+        self._check_size(raw)
         body = decode_strict_json(raw, SubmitBody)
         check_amounts(body)
+        if body.request_id:
+            RequestId.parse(body.request_id)
         admitted = self._gate.admit(
             authorization_of(request),
             body.team,
             body.queue,
         )
         if not isinstance(admitted, Passage):
-            return self._refused(body.request_id, admitted, body.attempt)
+            return self._not_admitted(body, admitted)
         needed = body.resources.times(body.gang_size)
         if not needed.fits_in(admitted.team.upper_limit):
-            return self._refused(
-                body.request_id,
-                refusals.LIMIT_NEVER_FITS,
-                body.attempt,
-            )
+            return self._not_admitted(body, refusals.LIMIT_NEVER_FITS)
         with self._gate.counted(admitted.team.name):
             return await self._submit_admitted(body, admitted)
 
@@ -114,13 +122,12 @@
     async def answer(self, request: web.Request) -> web.Response:
         """Tell the answer to a request once it is final."""
         timeout_ms = request.query.get('timeout_ms', '10000')
-        if not timeout_ms.isdecimal():
-            raise MalformedMessageError('timeout_ms is no whole number')
-        timeout_s = min(
-            int(timeout_ms) / _MS_PER_S,
-            _ANSWER_TIMEOUT_LIMIT_S,
-        )
-        return await self._answer_within(request, timeout_s)
+        if not timeout_ms.isdecimal() or len(timeout_ms) > _DIGIT_LIMIT:
+            raise MalformedMessageError(
+                'timeout_ms is no whole number of at most 9 digits',
+            )
+        waited_ms = min(int(timeout_ms), _ANSWER_TIMEOUT_LIMIT_MS)
+        return await self._answer_within(request, waited_ms / _MS_PER_S)
 
     async def cancel(self, request: web.Request) -> web.Response:
         """Cancel one request."""
@@ -157,12 +164,10 @@
         admitted: Passage,
     ) -> web.Response:
         request_id = body.request_id
-        if request_id:
-            RequestId.parse(request_id)
-        else:
+        if not request_id:
             issued = await self._router.issue_id(body.resources)
             if isinstance(issued, Refusal):
-                return self._refused('', issued)
+                return self._not_admitted(body, issued)
             request_id = issued
         spec = task_spec(body, request_id, admitted)
         answer = await self._router.submit(
@@ -171,9 +176,27 @@
             is_repeated=body.attempt > 1,
         )
         if answer.state == RequestState.not_run:
-            self._metrics.refused(answer.reason)
+            self._note_refused(answer)
         return answer_response(answer)
 
+    def _check_size(self, raw: bytes) -> None:
+        cell = self._gate.cell()
+        limit_bytes = None if cell is None else cell.limits.body_limit_bytes
+        if limit_bytes is not None and len(raw) > limit_bytes:
+            raise web.HTTPRequestEntityTooLarge(limit_bytes, len(raw))
+
+    def _note_refused(self, answer: Answer) -> None:
+        """Count and log a refusal that no owner counted and logged."""
+        if answer.reason not in _NOT_LOGGED:
+            return
+        self._metrics.refused(answer.reason)
+        log_event(
+            'request_end',
+            request=answer.request_id or '-',
+            state=answer.state,
+            reason=answer.reason,
+        )
+
     async def _answer_within(
         self,
         request: web.Request,
@@ -227,21 +250,39 @@
                 return queue.open_team
         return refusals.KEY_MISSING
 
+    def _not_admitted(
+        self,
+        body: SubmitBody,
+        refusal: Refusal,
+    ) -> web.Response:
+        """Refuse a submission; a repeated one may have run before."""
+        if body.attempt > 1:
+            return self._refused(body.request_id, refusal, may_have_run=True)
+        answer = not_run_answer(body.request_id, refusal)
+        self._metrics.refused(refusal.reason)
+        log_event(
+            'request_end',
+            request=body.request_id or '-',
+            state=answer.state,
+            reason=refusal.reason,
+        )
+        return answer_response(answer)
+
     def _refused(
         self,
         request_id: str,
         refusal: Refusal,
-        attempt: int = 1,
+        *,
+        may_have_run: bool = False,
     ) -> web.Response:
+        """Refuse a call, which says nothing of the end of a request."""
         self._metrics.refused(refusal.reason)
         log_event(
-            'request_end',
+            'call_refused',
             request=request_id or '-',
-            state=RequestState.not_run,
             reason=refusal.reason,
-            attempt=attempt,
         )
         answer = not_run_answer(request_id, refusal)
-        if attempt > 1:
+        if may_have_run:
             answer = attrs.evolve(answer, state=RequestState.unknown)
         return answer_response(answer)
--- a/packages/currantreach-daemon/src/currantreach_daemon/_config_admin.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_config_admin.py
@@ -174,9 +174,10 @@
                 change_id=change_id,
                 author=author,
             )
-        if following.revision != body.expected_revision + 1:
-            return _lost_to(record)
-        return await self._write(following)
+        if following.revision == body.expected_revision + 1:
+            return await self._write(following)
+        written = await self._revision_of(body.change_id)
+        return await self._confirm(written) if written else _lost_to(record)
 
     async def list_keys(
         self,
@@ -256,6 +257,15 @@
             return refusals.KEY_OTHER_TEAM
         return key.key_id
 
+    async def _revision_of(self, change_id: str) -> int:
+        """Return the revision that a repeated call has already written."""
+        if not change_id:
+            return 0
+        for earlier in await self._keeper.history():
+            if earlier.change_id == change_id:
+                return earlier.revision
+        return 0
+
     async def _write(self, record: ConfigRecord) -> web.Response:
         try:
             await self._keeper.write(record, record.revision - 1)
--- a/packages/currantreach-daemon/src/currantreach_daemon/_http_errors.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_http_errors.py
@@ -32,6 +32,7 @@
 
 __all__ = ('ErrorMiddleware',)
 
+_SUBMISSION = ('POST', '/v1/requests')
 _CLOSING = frozenset(
     (HTTPStatus.REQUEST_ENTITY_TOO_LARGE, HTTPStatus.SERVICE_UNAVAILABLE),
 )
@@ -54,6 +55,7 @@
         """Run a handler and answer for the errors that it raises."""
         if self._gate.is_over_connection_limit():
             return self._refused(
+                request,
                 refusals.CONNECTION_LIMIT,
                 HTTPStatus.SERVICE_UNAVAILABLE,
             )
@@ -61,18 +63,24 @@
             return await handler(request)
         except web.HTTPRequestEntityTooLarge:
             return self._refused(
+                request,
                 refusals.BODY_TOO_LARGE,
                 HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
             )
         except CurrantreachError as exc:
-            return self._failed(exc)
+            return self._failed(request, exc)
 
-    def _failed(self, error: CurrantreachError) -> web.Response:
+    def _failed(
+        self,
+        request: web.Request,
+        error: CurrantreachError,
+    ) -> web.Response:
         if isinstance(error, ConfigurationFaultsError):
             faults = [msgspec.to_builtins(fault) for fault in error.faults]
             return json_response({'faults': faults}, HTTPStatus.BAD_REQUEST)
         if isinstance(error, MalformedMessageError | ConfigurationError):
             return self._refused(
+                request,
                 refusals.BODY_MALFORMED,
                 HTTPStatus.BAD_REQUEST,
                 str(error),
@@ -80,6 +88,7 @@
         if isinstance(error, LostAnswerError):
             return _unknown_outcome(str(error))
         return self._refused(
+            request,
             refusals.STORE_UNAVAILABLE,
             HTTPStatus.SERVICE_UNAVAILABLE,
             str(error),
@@ -87,12 +96,19 @@
 
     def _refused(
         self,
+        request: web.Request,
         refusal: Refusal,
         status: HTTPStatus,
         text: str = '',
     ) -> web.Response:
         self._metrics.refused(refusal.reason)
-        log_event('request_end', state='not_run', reason=refusal.reason)
+        is_submission = (request.method, request.path) == _SUBMISSION
+        log_event(
+            'request_end' if is_submission else 'call_refused',
+            request='-',
+            state=RequestState.not_run,
+            reason=refusal.reason,
+        )
         answer = not_run_answer('', refusal)
         if text:
             answer = attrs.evolve(answer, remedy=f'{answer.remedy}: {text}')
--- a/packages/currantreach-daemon/src/currantreach_daemon/_metrics.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_metrics.py
@@ -19,6 +19,8 @@
 
 __all__ = ('Metrics',)
 
+# Callers choose the names of workloads, and each label takes memory.
+_WORKLOAD_LIMIT = 50
 _WAIT_BOUNDS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.3, 5, 30, 300)
 _DECISION_BOUNDS_S = (0.0001, 0.0005, 0.001, 0.002, 0.005, 0.02, 0.1)
 
@@ -28,6 +30,7 @@
 
     def __init__(self) -> None:
         """Create the instruments."""
+        self._workloads: set[str] = set()
         self._registry = CollectorRegistry()
         reader = PrometheusMetricReader(registry=self._registry)
         provider = MeterProvider(
@@ -60,11 +63,12 @@
 
     def request_ended(self, workload: str, state: str) -> None:
         """Count the end of a request."""
-        self._ends.add(1, {'workload': workload, 'state': state})
+        label = self._label_of(workload)
+        self._ends.add(1, {'workload': label, 'state': state})
 
     def waited(self, workload: str, waited_s: float) -> None:
         """Record the waiting time of a request."""
-        self._waits.record(waited_s, {'workload': workload})
+        self._waits.record(waited_s, {'workload': self._label_of(workload)})
 
     def decided(self, round_s: float) -> None:
         """Record the duration of one round of decisions."""
@@ -84,6 +88,11 @@
         """Return all metrics in the Prometheus text format."""
         return exposition.generate_latest(self._registry)
 
+    def _label_of(self, workload: str) -> str:
+        if len(self._workloads) < _WORKLOAD_LIMIT:
+            self._workloads.add(workload)
+        return workload if workload in self._workloads else 'other'
+
 
 def _observe(
     read: Callable[[], Mapping[str, float]],
--- a/packages/currantreach-daemon/src/currantreach_daemon/_replies.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_replies.py
@@ -34,6 +34,9 @@
         refusals.TEAM_RATE.reason: HTTPStatus.TOO_MANY_REQUESTS,
     },
 )
+# Status if the call can be retried, and if it cannot.
+_UNKNOWN = (HTTPStatus.GATEWAY_TIMEOUT, HTTPStatus.NOT_FOUND)
+_NOT_RUN = (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.UNPROCESSABLE_ENTITY)
 
 
 async def read_body(request: web.Request) -> bytes:
@@ -79,13 +82,10 @@
     if answer.state in {RequestState.accepted, RequestState.running}:
         return HTTPStatus.ACCEPTED
     if answer.state == RequestState.unknown:
-        if answer.can_retry:
-            return HTTPStatus.GATEWAY_TIMEOUT
-        return HTTPStatus.NOT_FOUND
-    if answer.state != RequestState.not_run:
-        return HTTPStatus.OK
-    if answer.can_retry:
-        default = HTTPStatus.SERVICE_UNAVAILABLE
+        can_retry, cannot_retry = _UNKNOWN
+    elif answer.state == RequestState.not_run:
+        can_retry, cannot_retry = _NOT_RUN
     else:
-        default = HTTPStatus.UNPROCESSABLE_ENTITY
+        return HTTPStatus.OK
+    default = can_retry if answer.can_retry else cannot_retry
     return _STATUS_BY_REASON.get(answer.reason, default)
--- a/packages/currantreach-daemon/src/currantreach_daemon/_router.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_router.py
@@ -173,14 +173,16 @@
         answers: list[Answer] = []
         for ids in by_partition.values():
             answers.extend(await self._cancel_at(tuple(ids), team))
-        return tuple(answers)
+        by_id = {answer.request_id: answer for answer in answers}
+        return tuple(by_id[request_id] for request_id in request_ids)
 
     async def list_requests(self, team: str) -> tuple[Answer, ...]:
         """Return the requests of a team in all reachable partitions."""
         answers: list[Answer] = []
         for peer, owned in self._candidates():
             if peer is None:
-                answers.extend(self.owners[owned.partition].answers(team))
+                local = self.owners.get(owned.partition)
+                answers.extend(() if local is None else local.answers(team))
                 continue
             try:
                 reply = await peer.link.call(
--- a/packages/currantreach-state/src/currantreach_state/_config_record.py
+++ b/packages/currantreach-state/src/currantreach_state/_config_record.py
@@ -9,7 +9,11 @@
 
 from currantreach_config import ConfigRecord
 from currantreach_types import decode_json, encode_json
-from currantreach_types.errors import ConflictError, LostAnswerError
+from currantreach_types.errors import (
+    ConflictError,
+    LostAnswerError,
+    PlatformError,
+)
 
 if TYPE_CHECKING:
     from currantreach_platform import Store
@@ -138,7 +142,12 @@
         self.proof_at_s = max(self.proof_at_s, at_s)
 
     async def _settle(self, record: ConfigRecord) -> None:
-        current = await self._store.get(_CURRENT)
+        try:
+            current = await self._store.get(_CURRENT)
+        except PlatformError as exc:
+            raise LostAnswerError(
+                'the change is not settled; apply it again',
+            ) from exc
         if current is None:
             raise LostAnswerError('the change is not settled; apply it again')
         self._key_revision = current.revision
@@ -154,7 +163,7 @@
         entry = attrs.evolve(record, granted=())
         try:
             await self._store.put(key, encode_json(entry), 0)
-        except (ConflictError, LostAnswerError):
+        except PlatformError:
             return
 
     def _conflict(self) -> ConflictError:
