Count tasks that a successor has not seen yet against the limits

Cause: a successor reads the inventories of its workers one by one, and a worker that it cannot reach keeps its tasks for a task lease.

Change: until recovery has finished, the capacity of all workers not read yet counts as used by each team, in the allotment and in the terms of the scheduler. Before any worker is known, nothing is started.

While a worker is unreachable right after a takeover, teams with small allotments wait up to the task lease and the session time, or outage_limit_s without the consent of all daemons.

--- a/packages/currantreach-daemon/src/currantreach_daemon/_owner.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_owner.py
@@ -222,6 +222,10 @@
         """Return the room taken by each team."""
         return self._tools.scheduler.usage()
 
+    def unread_capacity(self) -> Resources | None:
+        """Return the room of workers whose tasks are not known yet."""
+        return self._recovery.unread_capacity()
+
     def allotments(self) -> Mapping[str, Resources]:
         """Return the allotment of each team."""
         return {team: self.quotas.granted(team) for team in self.usage()}
--- a/packages/currantreach-daemon/src/currantreach_daemon/_owner_factory.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_owner_factory.py
@@ -58,6 +58,7 @@
             self.read_config,
             owner.shed,
             owner.has_limits,
+            owner.unread_capacity,
         )
         return owner
 
--- a/packages/currantreach-daemon/src/currantreach_daemon/_quotas.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_quotas.py
@@ -27,6 +27,8 @@
 
     :param shed: called with a team and the room it has to give back.
     :param has_limits: set once all teams have an allotment.
+    :param unread_capacity: returns the room of workers on which tasks of a
+        predecessor may run unseen; nothing if no worker is known yet.
     """
 
     def __init__(
@@ -36,6 +38,7 @@
         read_config: Callable[[], ConfigRecord | None],
         shed: Callable[[str, Resources], None],
         has_limits: asyncio.Event,
+        unread_capacity: Callable[[], Resources | None],
     ) -> None:
         """Start without any allotment."""
         self.revision = 0
@@ -44,6 +47,7 @@
         self._read_config = read_config
         self._shed = shed
         self._has_limits = has_limits
+        self._unread_capacity = unread_capacity
 
     async def keep(self) -> None:
         """Refresh the allotments for ever."""
@@ -60,8 +64,11 @@
     async def _refresh(self, record: ConfigRecord) -> None:
         usage = self._scheduler.usage()
         demand = self._scheduler.demand()
+        unread = self._unread_capacity() or Resources()
         for team in record.cell.teams:
-            used = usage.get(team.name, Resources())
+            # Tasks that were not seen yet count too, so that their room is
+            # not given to another partition.
+            used = usage.get(team.name, Resources()) + unread
             try:
                 await self._allotments.refresh(
                     team.name,
@@ -81,16 +88,23 @@
         self._shed_excess(record)
 
     def _set_terms(self, record: ConfigRecord) -> None:
+        unread = self._unread_capacity()
         self._scheduler.set_teams(
             {
                 team.name: TeamTerms(
                     share=team.share,
-                    allotment=self._allotments.granted(team.name),
+                    allotment=self._usable(team.name, unread),
                 )
                 for team in record.cell.teams
             },
         )
 
+    def _usable(self, team: str, unread: Resources | None) -> Resources:
+        """Return what a team may use besides the tasks not seen yet."""
+        if unread is None:
+            return Resources()
+        return (self.granted(team) - unread).at_least(Resources())
+
     def _shed_excess(self, record: ConfigRecord) -> None:
         usage = self._scheduler.usage()
         is_in_force = True
--- a/packages/currantreach-daemon/src/currantreach_daemon/_recovery.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_recovery.py
@@ -14,6 +14,7 @@
     Answer,
     PolicyKind,
     RequestState,
+    Resources,
     TaskSpec,
     decode_json,
 )
@@ -53,6 +54,22 @@
         """Note that the inventory of a worker was read."""
         self._boot_ids.setdefault(worker, boot_id)
 
+    def unread_capacity(self) -> Resources | None:
+        """Return the room of workers whose tasks are not known yet.
+
+        :returns: nothing while no worker is known at all.
+        """
+        if self._state.recovered.is_set():
+            return Resources()
+        if not self._state.hosts:
+            return None
+        unread = (
+            host.capacity
+            for name, host in self._state.hosts.items()
+            if name not in self._boot_ids
+        )
+        return sum(unread, Resources())
+
     def add_record(self, record: JournalRecord) -> None:
         """Take over a request of the journal."""
         spec = decode_json(record.spec_json, TaskSpec)
--- a/packages/currantreach-daemon/tests/conftest.py
+++ b/packages/currantreach-daemon/tests/conftest.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import itertools
 import selectors
 
 import attrs
@@ -16,7 +17,7 @@
 from currantreach_daemon._owner_state import OwnerTools
 from currantreach_daemon._requests import body_hash_of
 from currantreach_decisions import IndexedScheduler, TeamTerms
-from currantreach_platform import WorkerClient
+from currantreach_platform import KeyValue, Store, WatchResult, WorkerClient
 from currantreach_state import Claim, RecordKind
 from currantreach_types import (
     Clock,
@@ -32,6 +33,7 @@
     WorkerTask,
 )
 from currantreach_types.errors import (
+    ConflictError,
     LostAnswerError,
     StaleEpochError,
     StoreUnavailableError,
@@ -322,6 +324,89 @@
         )
 
 
+class MemoryStore(Store):
+    """Store in memory; ``faults`` maps calls to ``'down'`` or ``'lost'``."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.kept = {}
+        self.leases = {}
+        self.faults = {}
+        self.numbers = itertools.count(1)
+
+    async def get(self, key):
+        return self._call('get', self.peek, key)
+
+    async def list_prefix(self, prefix):
+        return self._call('get', self._list, prefix)
+
+    async def watch(self, prefix, after_revision, timeout_s):
+        return self._call('get', self._list, prefix)
+
+    async def put(self, key, stored, expected_revision, lease_id=''):
+        return self._call(
+            'put', self._put, key, stored, expected_revision, lease_id
+        )
+
+    async def delete(self, key, expected_revision):
+        self._call('put', self.kept.pop, key, None)
+
+    async def grant_lease(self, ttl_s):
+        return self._call('lease', self._grant, ttl_s)
+
+    async def renew_lease(self, lease_id):
+        self._call('lease', self._renew, lease_id)
+
+    async def revoke_lease(self, lease_id):
+        self._call('lease', self.leases.pop, lease_id, None)
+
+    async def close(self):
+        """Do nothing."""
+
+    def peek(self, key):
+        """Return a key, unless its lease has run out."""
+        known, lease_id = self.kept.get(key, (None, ''))
+        return None if lease_id and not self._lives(lease_id) else known
+
+    def _call(self, call, effect, *args):
+        fault = self.faults.get(call, self.faults.get('all'))
+        if fault == 'down':
+            raise StoreUnavailableError('injected')
+        answer = effect(*args)
+        if fault == 'lost':
+            raise LostAnswerError('injected')
+        return answer
+
+    def _lives(self, lease_id):
+        return self.clock.now_s() < self.leases.get(lease_id, (0, 0))[0]
+
+    def _list(self, prefix):
+        names = [name for name in self.kept if name.startswith(prefix)]
+        found = [self.peek(name) for name in names if self.peek(name)]
+        return WatchResult(revision=next(self.numbers), changed=tuple(found))
+
+    def _put(self, key, stored, expected_revision, lease_id):
+        current = self.peek(key)
+        found = 0 if current is None else current.revision
+        if found != expected_revision:
+            raise ConflictError('injected', found)
+        revision = next(self.numbers)
+        record = KeyValue(key=key, stored=stored, revision=revision)
+        self.kept[key] = (record, lease_id)
+        return revision
+
+    def _grant(self, ttl_s):
+        lease_id = f'lease-{next(self.numbers)}'
+        self.leases[lease_id] = (self.clock.now_s() + ttl_s, ttl_s)
+        return lease_id
+
+    def _renew(self, lease_id):
+        if not self._lives(lease_id):
+            raise ConflictError('the lease ran out', 0)
+        ttl_s = self.leases[lease_id][1]
+        self.leases[lease_id] = (self.clock.now_s() + ttl_s, ttl_s)
+
+
 class JournalStore:
     """What the store keeps of the journal, and its faults.
 
@@ -544,6 +629,12 @@
     return VirtualLoop
 
 
+@pytest.fixture
+def new_store():
+    """Return the class of the store in memory."""
+    return MemoryStore
+
+
 @pytest.fixture
 def new_cell():
     """Return the class of the simulated cell, for state machines."""
--- a/packages/currantreach-daemon/tests/test_http.py
+++ b/packages/currantreach-daemon/tests/test_http.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import itertools
 import json
 
 import attrs
@@ -18,7 +17,7 @@
 from currantreach_daemon._gate import Gate
 from currantreach_daemon._http import HttpServer
 from currantreach_daemon._metrics import Metrics
-from currantreach_platform import KeyValue, Store, WatchResult
+from currantreach_platform import Store
 from currantreach_state import ConfigKeeper
 from currantreach_types import (
     Answer,
@@ -27,69 +26,10 @@
     encode_json,
     refusals,
 )
-from currantreach_types.errors import (
-    ConflictError,
-    LostAnswerError,
-    StoreUnavailableError,
-)
 
 ID = 'dom.0.1.one'
 
 
-class MemoryStore(Store):
-    """Store in memory; ``faults`` holds ``'down'`` or ``'lost'`` by call."""
-
-    def __init__(self):
-        self.kept = {}
-        self.faults = {}
-        self.numbers = itertools.count(1)
-
-    async def get(self, key):
-        self._fail('get')
-        return self.kept.get(key)
-
-    async def list_prefix(self, prefix):
-        found = [self.kept[key] for key in self.kept if key.startswith(prefix)]
-        return WatchResult(revision=next(self.numbers), changed=tuple(found))
-
-    async def put(self, key, stored, expected_revision, lease_id=''):
-        current = self.kept.get(key)
-        found = 0 if current is None else current.revision
-        if self.faults.get('put') == 'down':
-            raise StoreUnavailableError('injected')
-        if found != expected_revision:
-            raise ConflictError('injected', found)
-        revision = next(self.numbers)
-        self.kept[key] = KeyValue(key=key, stored=stored, revision=revision)
-        self._fail('put')
-        return revision
-
-    async def delete(self, key, expected_revision):
-        """Not used here."""
-
-    async def grant_lease(self, ttl_s):
-        """Not used here."""
-
-    async def renew_lease(self, lease_id):
-        """Not used here."""
-
-    async def revoke_lease(self, lease_id):
-        """Not used here."""
-
-    async def watch(self, prefix, after_revision, timeout_s):
-        return await self.list_prefix(prefix)
-
-    async def close(self):
-        """Do nothing."""
-
-    def _fail(self, call):
-        fault = self.faults.get(call)
-        if fault == 'down':
-            raise StoreUnavailableError('injected')
-        if fault == 'lost':
-            raise LostAnswerError('injected')
-
-
 class FakeRouter:
     """Router that writes down what reaches it."""
 
@@ -138,7 +78,7 @@
     router: FakeRouter
     overview: FakeOverview
     keeper: ConfigKeeper
-    store: MemoryStore
+    store: Store
     gate: Gate
     clock: ManualClock
     tokens: dict
@@ -214,10 +154,10 @@
 
 
 @pytest.fixture
-async def empty_site(base, keys):
+async def empty_site(base, keys, new_store):
     """Return a site without a configuration."""
     clock = ManualClock(100)
-    store = MemoryStore()
+    store = new_store(clock)
     keeper = ConfigKeeper(store, clock, 5)
     gate = Gate(keeper, clock)
     router = FakeRouter()
