--- a/bench/report.py
+++ b/bench/report.py
@@ -5,9 +5,8 @@
 import sys
 from typing import TYPE_CHECKING
 
-from currantreach_types import Resources
-
 from bench.workload import TEAMS
+from currantreach_types import Resources
 
 if TYPE_CHECKING:
     from bench.replay import Replay, Request
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import attrs
+
 from currantreach_decisions import TeamTerms
 from currantreach_types import PolicyKind, Resources, TaskSpec, WorkerInfo
 
--- a/packages/currantreach-daemon/src/currantreach_daemon/_callers.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_callers.py
@@ -47,11 +47,20 @@
 
 __all__ = ('CallerApi',)
 
-_ANSWER_TIMEOUT_LIMIT_S = 60
+_ANSWER_TIMEOUT_LIMIT_MS = 60000
 _ANSWER_TIMEOUT_MS = 10000
 _IN_PROGRESS = frozenset((RequestState.accepted, RequestState.running))
 _MS_PER_S = 1000
+_DIGIT_LIMIT = 9
 _CANCEL_LIMIT = 10000
+# The owner writes the line for the end of each other request.
+_NOT_LOGGED = frozenset(
+    (
+        refusals.ID_REUSED.reason,
+        refusals.NO_OWNER.reason,
+        refusals.OWNER_UNREACHABLE.reason,
+    ),
+)
 
 
 class CallerApi:
@@ -94,22 +103,21 @@
         With ``wait_ms`` in the query, the final answer is awaited.
         """
         raw = await read_body(request)
+        self._check_size(raw)
         body = decode_strict_json(raw, SubmitBody)
         check_amounts(body)
+        if body.request_id:
+            RequestId.parse(body.request_id)
         admitted = self._gate.admit(
             authorization_of(request),
             body.team,
             body.queue,
         )
         if not isinstance(admitted, Passage):
-            return self._refused(body.request_id, admitted, body.attempt)
+            return self._not_admitted(body, admitted)
         needed = body.resources.times(body.gang_size)
         if not needed.fits_in(admitted.team.upper_limit):
-            return self._refused(
-                body.request_id,
-                refusals.LIMIT_NEVER_FITS,
-                body.attempt,
-            )
+            return self._not_admitted(body, refusals.LIMIT_NEVER_FITS)
         wait_s = _timeout_s(request, 'wait_ms', 0)
         with self._gate.counted(admitted.team.name):
             answer = await self._submit_admitted(body, admitted)
@@ -165,12 +173,12 @@
         admitted: Passage,
     ) -> Answer:
         request_id = body.request_id
-        if request_id:
-            RequestId.parse(request_id)
-        else:
+        if not request_id:
             issued = await self._router.issue_id(body.resources)
             if isinstance(issued, Refusal):
-                return not_run_answer('', issued)
+                refused = not_run_answer('', issued)
+                self._note_refused(refused)
+                return refused
             request_id = issued
         spec = task_spec(body, request_id, admitted)
         answer = await self._router.submit(
@@ -179,9 +187,27 @@
             is_repeated=body.attempt > 1,
         )
         if answer.state == RequestState.not_run:
-            self._metrics.refused(answer.reason)
+            self._note_refused(answer)
         return answer
 
+    def _check_size(self, raw: bytes) -> None:
+        cell = self._gate.cell()
+        limit_bytes = None if cell is None else cell.limits.body_limit_bytes
+        if limit_bytes is not None and len(raw) > limit_bytes:
+            raise web.HTTPRequestEntityTooLarge(limit_bytes, len(raw))
+
+    def _note_refused(self, answer: Answer) -> None:
+        """Count and log a refusal that no owner counted and logged."""
+        if answer.reason not in _NOT_LOGGED:
+            return
+        self._metrics.refused(answer.reason)
+        log_event(
+            'request_end',
+            request=answer.request_id or '-',
+            state=answer.state,
+            reason=answer.reason,
+        )
+
     async def _answer_within(
         self,
         request: web.Request,
@@ -239,28 +265,48 @@
         self._metrics.refused(refusal.reason)
         return unanswered_response(not_run_answer(request_id, refusal))
 
+    def _not_admitted(
+        self,
+        body: SubmitBody,
+        refusal: Refusal,
+    ) -> web.Response:
+        """Refuse a submission; a repeated one may have run before."""
+        if body.attempt > 1:
+            return self._refused(body.request_id, refusal, may_have_run=True)
+        answer = not_run_answer(body.request_id, refusal)
+        self._metrics.refused(refusal.reason)
+        log_event(
+            'request_end',
+            request=body.request_id or '-',
+            state=answer.state,
+            reason=refusal.reason,
+        )
+        return answer_response(answer)
+
     def _refused(
         self,
         request_id: str,
         refusal: Refusal,
-        attempt: int = 1,
+        *,
+        may_have_run: bool = False,
     ) -> web.Response:
+        """Refuse a call, which says nothing of the end of a request."""
         self._metrics.refused(refusal.reason)
         log_event(
-            'request_end',
+            'call_refused',
             request=request_id or '-',
-            state=RequestState.not_run,
             reason=refusal.reason,
-            attempt=attempt,
         )
         answer = not_run_answer(request_id, refusal)
-        if attempt > 1:
+        if may_have_run:
             answer = attrs.evolve(answer, state=RequestState.unknown)
         return answer_response(answer)
 
 
 def _timeout_s(request: web.Request, name: str, default_ms: int) -> float:
     text = request.query.get(name, str(default_ms))
-    if not text.isdecimal():
-        raise MalformedMessageError(f'{name} is no whole number; correct it')
-    return min(int(text) / _MS_PER_S, _ANSWER_TIMEOUT_LIMIT_S)
+    if not text.isdecimal() or len(text) > _DIGIT_LIMIT:
+        raise MalformedMessageError(
+            f'{name} is no whole number of at most {_DIGIT_LIMIT} digits',
+        )
+    return min(int(text), _ANSWER_TIMEOUT_LIMIT_MS) / _MS_PER_S
