Keep the newest records of a segment that is rewritten

The owner did not notice; its successor did not know the accepted requests of that segment.

Change: Layout.plan puts the needed records of the segment into the next head.

--- a/packages/currantreach-state/src/currantreach_state/_journal_layout.py
+++ b/packages/currantreach-state/src/currantreach_state/_journal_layout.py
@@ -163,6 +163,7 @@
         kept = _by_request(() if rolled else self.head.records)
         if refilled:
             dropped |= {refilled.name}
+            kept = {**_by_request(self.needed(refilled)), **kept}
         for record in head.records:
             kept.pop(record.request_id, None)
             kept[record.request_id] = record
