Add the allotments of teams

Cause: a team's upper limit must hold across all partitions, also with lost store answers, lowered limits and replaced owners.

Change: one record per team holds the limit and an entry per partition; each owner moves its own entry by compare-and-swap, one step per call. The room in memory is the smallest of the stored entry, the entries of writes without an answer and the part of a lowered limit. An entry is lowered to its part only when the running tasks fit in it, so a limit is in force when the entries respect it. An owner uses an entry only after a write with its own epoch, which makes delayed writes of an earlier owner fail. All records are read by one prefix watch.

Result: no write in a refresh without a change (test).

--- a/packages/currantreach-state/src/currantreach_state/__init__.py
+++ b/packages/currantreach-state/src/currantreach_state/__init__.py
@@ -2,6 +2,18 @@
 
 from __future__ import annotations
 
+from currantreach_state._allotments import (
+    AllotmentEntry,
+    AllotmentRecord,
+    Allotments,
+)
 from currantreach_state._journal import Journal, JournalRecord, RecordKind
 
-__all__ = ('Journal', 'JournalRecord', 'RecordKind')
+__all__ = (
+    'AllotmentEntry',
+    'AllotmentRecord',
+    'Allotments',
+    'Journal',
+    'JournalRecord',
+    'RecordKind',
+)
--- a/packages/currantreach-state/tests/conftest.py
+++ b/packages/currantreach-state/tests/conftest.py
@@ -48,9 +48,10 @@
 class FakeStore(Store):
     """Store in memory.
 
-    Each call takes the next of ``faults``: ``outage``, ``dropped`` (no
-    effect, no answer), ``lost`` (effect, no answer), ``late`` (no answer,
-    effect after ``late_s``) or ``slow`` (effect, answer after ``late_s``).
+    Each call, or each of ``faulty_kinds``, takes the next of ``faults``:
+    ``outage``, ``dropped`` (no effect, no answer), ``lost`` (effect, no
+    answer), ``late`` (no answer, effect after ``late_s``) or ``slow``
+    (effect, answer after ``late_s``).
     """
 
     def __init__(self, clock):
@@ -58,6 +59,7 @@
         self.rows = {}
         self.revision = 0
         self.faults = collections.deque()
+        self.faulty_kinds = frozenset()
         self.calls = collections.Counter()
         self.is_down = False
         self.latency_s = 0.002
@@ -111,7 +113,8 @@
 
     async def _call(self, kind, effect):
         self.calls[kind] += 1
-        fault = self.faults.popleft() if self.faults else ''
+        is_faulty = not self.faulty_kinds or kind in self.faulty_kinds
+        fault = self.faults.popleft() if self.faults and is_faulty else ''
         await asyncio.sleep(self.latency_s)
         if self.is_down or fault == 'outage':
             raise StoreUnavailableError('the fake store is down')
