Add the keeper of the configuration record

Cause: an accepted configuration must never revert, and a key is checked only against a configuration that is known to be the newest.

Change: ConfigKeeper takes only higher revisions, long-polls config/current and keeps the time as of which its revision is the newest, from polls, peers or a round of all daemons in an outage. A write puts the replaced record into the history first, so the history misses no accepted change once a later one is written, and a lost answer is settled by the change id, also below later changes. An answer older than the known revision is no proof.

--- a/packages/currantreach-state/src/currantreach_state/__init__.py
+++ b/packages/currantreach-state/src/currantreach_state/__init__.py
@@ -7,13 +7,16 @@
     AllotmentRecord,
     Allotments,
 )
+from currantreach_state._config_record import ConfigKeeper, OutageReport
 from currantreach_state._journal import Journal, JournalRecord, RecordKind
 
 __all__ = (
     'AllotmentEntry',
     'AllotmentRecord',
     'Allotments',
+    'ConfigKeeper',
     'Journal',
     'JournalRecord',
+    'OutageReport',
     'RecordKind',
 )
--- a/packages/currantreach-state/tests/conftest.py
+++ b/packages/currantreach-state/tests/conftest.py
@@ -99,14 +99,9 @@
             'watch', lambda: self._below(prefix, after_revision)
         )
 
-    async def grant_lease(self, ttl_s):
-        raise NotImplementedError
-
-    async def renew_lease(self, lease_id):
-        raise NotImplementedError
-
-    async def revoke_lease(self, lease_id):
-        raise NotImplementedError
+    grant_lease = None
+    renew_lease = None
+    revoke_lease = None
 
     async def close(self):
         self.rows.clear()
--- /dev/null
+++ b/packages/currantreach-state/tests/test_config_record.py
@@ -0,0 +1,194 @@
+"""Tests of the configuration record."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+from currantreach_config import CellConfig, ConfigRecord
+from currantreach_state import ConfigKeeper, OutageReport
+from currantreach_types.errors import (
+    ConflictError,
+    LostAnswerError,
+    PlatformError,
+)
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+FAULTS = st.sampled_from(['', 'outage', 'dropped', 'lost', 'late', 'slow'])
+KEEPERS = st.integers(0, 2)
+
+
+def record_of(revision, change_id='a'):
+    """Return a record."""
+    cell = CellConfig(site='site', teams=(), queues=())
+    return ConfigRecord(
+        revision=revision, change_id=change_id, author='ops', cell=cell
+    )
+
+
+class ConfigMachine(RuleBasedStateMachine):
+    """Keepers that write, poll and tell each other."""
+
+    def __init__(self, make_cell):
+        super().__init__()
+        cell = make_cell()
+        self.loop = cell[0]
+        self.store = cell[1]
+        self.store.late_s = 0.3
+        self.keepers = [
+            ConfigKeeper(self.store, self.store.clock, 5) for _ in range(3)
+        ]
+        self.seen = [0, 0, 0]
+        self.written = {}
+        self.change_count = 0
+
+    @rule(index=KEEPERS, faults=st.lists(FAULTS, max_size=4))
+    def write(self, index, faults):
+        """Write a change while calls fail."""
+        self.change_count += 1
+        self.store.faults.extend(faults)
+        change = self.changed(self.keepers[index], str(self.change_count))
+        self.loop.create_task(change)
+        self.run(0.003)
+
+    async def changed(self, keeper, change_id):
+        """Write a change and keep whether it was accepted."""
+        record = record_of(keeper.revision + 1, change_id)
+        with contextlib.suppress(PlatformError):
+            await keeper.write(record, record.revision - 1)
+            assert record.revision not in self.written
+            self.written[record.revision] = change_id
+
+    @rule(index=KEEPERS, faults=st.lists(FAULTS, max_size=1))
+    def poll(self, index, faults):
+        """Poll, perhaps with an old answer."""
+        self.store.faults.extend(faults)
+        self.loop.create_task(self.polled(self.keepers[index]))
+        self.run(0.01)
+
+    async def polled(self, keeper):
+        """Poll the store for one keeper."""
+        with contextlib.suppress(PlatformError):
+            await keeper.poll()
+
+    @rule(source=KEEPERS, receiver=KEEPERS)
+    def tell(self, source, receiver):
+        """Pass the record on."""
+        record = self.keepers[source].record
+        if record:
+            self.keepers[receiver].offer(record)
+
+    @rule(run_s=st.sampled_from([0.005, 3]))
+    def run(self, run_s):
+        """Let time pass."""
+        self.loop.step(asyncio.sleep(run_s))
+
+    @invariant()
+    def only_rises(self):
+        """Compare with earlier revisions and accepted changes."""
+        revisions = [keeper.revision for keeper in self.keepers]
+        assert all(map(int.__ge__, revisions, self.seen))
+        self.seen = revisions
+        for keeper in self.keepers:
+            accepted = self.written.get(keeper.revision)
+            assert accepted in {None, keeper.record and keeper.record.change_id}
+
+    def teardown(self):
+        """Check that the history holds each accepted change."""
+        self.store.faults.clear()
+        self.run(5)
+        self.loop.step(self.changed(self.keepers[0], 'last'))
+        self.loop.step(self.polled(self.keepers[0]))
+        self.loop.step(self.changed(self.keepers[0], 'last again'))
+        stored = [row.stored for row in self.store.rows.values()]
+        for change_id in self.written.values():
+            wanted = f'"change_id":"{change_id}"'.encode()
+            assert any(wanted in written for written in stored)
+        self.loop.close()
+
+
+def test_revisions_only_rise(make_cell):
+    """Guard against a configuration that reverts or loses a change."""
+    run_state_machine_as_test(
+        lambda: ConfigMachine(make_cell),
+        settings=settings(max_examples=300, stateful_step_count=25),
+    )
+
+
+@pytest.fixture
+def keeper(cell):
+    """Return a keeper that wrote the first revision."""
+    loop, store = cell
+    keeper = ConfigKeeper(store, store.clock, 5)
+    loop.step(keeper.write(record_of(1), 0))
+    return keeper
+
+
+def test_racing_and_lost_writes_are_told_apart(cell, keeper):
+    """Guard against a lost answer reported as someone else's success."""
+    loop, store = cell
+    other = ConfigKeeper(store, store.clock, 5)
+    store.faults.extend(('', '', 'lost', 'outage'))
+    with pytest.raises(LostAnswerError):
+        loop.step(keeper.write(record_of(2, 'b'), 1))
+    assert keeper.outage_report().has_unsettled_write
+    loop.step(other.write(record_of(3, 'c'), 2))
+
+    loop.step(keeper.write(record_of(2, 'b'), 1))
+    with pytest.raises(ConflictError, match='revision 2 by ops') as conflict:
+        loop.step(keeper.write(record_of(2, 'd'), 1))
+
+    assert conflict.value.current_revision == 3
+    assert keeper.revision == 3
+    assert not keeper.offer(record_of(2))
+
+
+def test_freshness_needs_a_proof(cell, keeper):
+    """Guard against accepting a withdrawn key on an old configuration."""
+    loop, store = cell
+    loop.step(keeper.poll())
+    sent_at_s = store.clock.now_s()
+    loop.step(keeper.poll())
+    assert keeper.proof_at_s == sent_at_s
+    store.clock.advance(10)
+    now_s = store.clock.now_s()
+    assert not keeper.is_fresh(now_s)
+    assert not keeper.note_peer_proof(2, 0, now_s)
+    keeper.note_peer_proof(1, 6, now_s)
+    assert not keeper.is_fresh(now_s)
+    keeper.note_peer_proof(1, 2, now_s)
+    assert keeper.is_fresh(now_s)
+    ahead = ConfigKeeper(store, store.clock, 5)
+    ahead.offer(record_of(2))
+    loop.step(ahead.poll())
+    assert not ahead.is_fresh(store.clock.now_s())
+
+
+@pytest.mark.parametrize(
+    ('changes', 'is_proof'),
+    [
+        ({}, True),
+        ({'revision': 2}, False),
+        ({'has_store_contact': True}, False),
+        ({'has_unsettled_write': True}, False),
+    ],
+)
+def test_outage_round_needs_every_daemon(keeper, changes, is_proof):
+    """Guard against freshness while someone could have written."""
+    silent = {'revision': 1, 'has_store_contact': False}
+    reports = {
+        'a': OutageReport(**silent),
+        'b': OutageReport(**{**silent, **changes}),
+    }
+
+    assert not keeper.note_outage_round(('a', 'b', 'c'), reports, 500)
+    assert keeper.note_outage_round(('a', 'b'), reports, 500) == is_proof
+    assert keeper.is_fresh(504) == is_proof
