--- a/packages/currantreach-daemon/src/currantreach_daemon/_app.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_app.py
@@ -221,6 +221,9 @@
             has_store=self._membership.has_store,
             is_leaving=self._membership.is_leaving,
             owned=tuple(owner.load() for owner in owners),
+            has_unsettled_write=(
+                self._keeper.outage_report().has_unsettled_write
+            ),
             limits={
                 f'{owner.claim.domain}.{owner.claim.partition}': (
                     owner.limits_revision()
--- a/packages/currantreach-daemon/src/currantreach_daemon/_heartbeats.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_heartbeats.py
@@ -35,6 +35,7 @@
     bool,
     tuple[_OwnedWire, ...],
     dict[str, int],
+    bool,
 ]
 
 # The codec takes types; a parametrised tuple is one only at run time.
@@ -54,6 +55,7 @@
         beat.is_leaving,
         tuple(_owned_to_wire(owned) for owned in beat.owned),
         beat.limits,
+        beat.has_unsettled_write,
     )
 
 
@@ -69,6 +71,7 @@
         is_leaving,
         owned,
         limits,
+        has_unsettled_write,
     ) = wire
     return Heartbeat(
         daemon_id=daemon_id,
@@ -80,6 +83,7 @@
         is_leaving=is_leaving,
         owned=tuple(_owned_from_wire(part) for part in owned),
         limits=limits,
+        has_unsettled_write=has_unsettled_write,
     )
 
 
--- a/packages/currantreach-daemon/src/currantreach_daemon/_messages.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_messages.py
@@ -53,6 +53,8 @@
     :ivar config_age_s: seconds since the revision was proved the newest.
     :ivar has_store: whether the store answered lately.
     :ivar is_leaving: whether the daemon is shutting down.
+    :ivar has_unsettled_write: whether the daemon may have written a newer
+        configuration.
     :ivar limits: revision whose team limits are in force, for each partition
         that the daemon owns.
     """
@@ -66,6 +68,7 @@
     is_leaving: bool
     owned: tuple[OwnedPartition, ...] = ()
     limits: dict[str, int] = attrs.field(factory=dict)
+    has_unsettled_write: bool = False
 
 
 @attrs.frozen(slots=True, kw_only=True)
--- a/packages/currantreach-daemon/src/currantreach_daemon/_owner_factory.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_owner_factory.py
@@ -53,6 +53,7 @@
                 self.clock,
                 f'{claim.domain}.{claim.partition}',
                 self._partition_keys(),
+                claim.epoch,
             ),
             tools.scheduler,
             self.read_config,
--- a/packages/currantreach-daemon/src/currantreach_daemon/_peers.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_peers.py
@@ -22,6 +22,7 @@
     TextReply,
 )
 from currantreach_links import PeerLink
+from currantreach_state import OutageReport
 from currantreach_types import decode_json
 from currantreach_types.errors import LinkError, MalformedMessageError
 
@@ -198,26 +199,29 @@
         peer.outage_s = 0 if reply.has_store else sent_s
         if reply.config_revision > self._keeper.revision:
             await self._fetch_config(peer)
-        self._keeper.note_peer_proof(
-            reply.config_revision,
-            reply.config_age_s,
-            sent_s,
-        )
-        self._note_outage(reply.config_revision)
+        if reply.config_revision == self._keeper.revision:
+            self._keeper.note_peer_proof(
+                reply.config_revision,
+                reply.config_age_s,
+                sent_s,
+            )
+        self._note_outage()
 
-    def _note_outage(self, revision: int) -> None:
-        if self._own_heartbeat().has_store or revision != self._keeper.revision:
+    def _note_outage(self) -> None:
+        """Use the outage reports of all daemons, as old as the oldest."""
+        if any(not peer.outage_s for peer in self.peers.values()):
             return
-        for peer in self.peers.values():
-            beat = peer.heartbeat
-            if not peer.outage_s or beat is None:
-                return
-            if beat.config_revision != revision:
-                return
-        rounds = [peer.outage_s for peer in self.peers.values()]
+        beats = [self._own_heartbeat()]
+        beats.extend(
+            peer.heartbeat
+            for peer in self.peers.values()
+            if peer.heartbeat is not None
+        )
+        rounds_s = [peer.outage_s for peer in self.peers.values()]
         self._keeper.note_outage_round(
-            revision,
-            min(rounds, default=self._clock.now_s()),
+            {self._settings.daemon_id, *self.peers},
+            {beat.daemon_id: _outage_report(beat) for beat in beats},
+            min(rounds_s, default=self._clock.now_s()),
         )
 
     async def _fetch_config(self, peer: Peer) -> None:
@@ -229,3 +233,11 @@
         )
         if reply.text:
             self._keeper.offer(decode_json(reply.text, ConfigRecord))
+
+
+def _outage_report(beat: Heartbeat) -> OutageReport:
+    return OutageReport(
+        revision=beat.config_revision,
+        has_store_contact=beat.has_store,
+        has_unsettled_write=beat.has_unsettled_write,
+    )
--- a/packages/currantreach-daemon/src/currantreach_daemon/_quotas.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_quotas.py
@@ -8,18 +8,20 @@
 from currantreach_daemon._log import log_problem
 from currantreach_decisions import TeamTerms
 from currantreach_types import Resources
-from currantreach_types.errors import PlatformError
+from currantreach_types.errors import LostAnswerError, StoreUnavailableError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from currantreach_config import ConfigRecord, TeamConfig
+    from currantreach_config import ConfigRecord
     from currantreach_decisions import Scheduler
     from currantreach_state import Allotments
 
 __all__ = ('Quotas',)
 
 _REFRESH_INTERVAL_S = 0.25
+_POLL_TIMEOUT_S = 10
+_PARTITION_WEIGHT = 1
 
 
 class Quotas:
@@ -51,16 +53,29 @@
 
     async def keep(self) -> None:
         """Refresh the allotments for ever."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._follow())
+            group.create_task(self._refresh_rounds())
+
+    def granted(self, team: str) -> Resources:
+        """Return the allotment of a team."""
+        return self._allotments.granted(team)
+
+    async def _follow(self) -> None:
+        while True:
+            try:
+                await self._allotments.poll(_POLL_TIMEOUT_S)
+            except (StoreUnavailableError, LostAnswerError) as exc:
+                log_problem('allotment_poll_failed', error=exc)
+                await asyncio.sleep(_REFRESH_INTERVAL_S)
+
+    async def _refresh_rounds(self) -> None:
         while True:
             record = self._read_config()
             if record is not None:
                 await self._refresh(record)
             await asyncio.sleep(_REFRESH_INTERVAL_S)
 
-    def granted(self, team: str) -> Resources:
-        """Return the allotment of a team."""
-        return self._allotments.granted(team)
-
     async def _refresh(self, record: ConfigRecord) -> None:
         usage = self._scheduler.usage()
         demand = self._scheduler.demand()
@@ -73,10 +88,12 @@
                 await self._allotments.refresh(
                     team.name,
                     team.upper_limit,
+                    record.revision,
                     used,
                     demand.get(team.name, Resources()),
+                    _PARTITION_WEIGHT,
                 )
-            except PlatformError as exc:
+            except (StoreUnavailableError, LostAnswerError) as exc:
                 log_problem(
                     'allotment_failed',
                     team=team.name,
@@ -115,9 +132,9 @@
             )
             if excess != Resources():
                 self._shed(team.name, excess)
-            is_in_force = is_in_force and self._is_in_force(team)
+            is_in_force = is_in_force and self._allotments.is_in_force(
+                team.name,
+                record.revision,
+            )
         if is_in_force:
             self.revision = record.revision
-
-    def _is_in_force(self, team: TeamConfig) -> bool:
-        return self._allotments.is_in_force(team.name, team.upper_limit)
--- a/packages/currantreach-daemon/tests/conftest.py
+++ b/packages/currantreach-daemon/tests/conftest.py
@@ -325,7 +325,11 @@
 
 
 class MemoryStore(Store):
-    """Store in memory; ``faults`` maps calls to ``'down'`` or ``'lost'``."""
+    """Store in memory; ``faults`` maps calls to ``'down'`` or ``'lost'``.
+
+    After ``'cut'`` the call takes effect, and the store is down from then on.
+    ``'put <key>'`` names the writes of one key.
+    """
 
     def __init__(self, clock):
         self.clock = clock
@@ -344,8 +348,14 @@
         return self._call('get', self._list, prefix)
 
     async def put(self, key, stored, expected_revision, lease_id=''):
+        call = f'put {key}'
         return self._call(
-            'put', self._put, key, stored, expected_revision, lease_id
+            call if call in self.faults else 'put',
+            self._put,
+            key,
+            stored,
+            expected_revision,
+            lease_id,
         )
 
     async def delete(self, key, expected_revision):
@@ -373,7 +383,9 @@
         if fault == 'down':
             raise StoreUnavailableError('injected')
         answer = effect(*args)
-        if fault == 'lost':
+        if fault == 'cut':
+            self.faults = {'all': 'down'}
+        if fault:
             raise LostAnswerError('injected')
         return answer
 
--- a/packages/currantreach-daemon/tests/test_http.py
+++ b/packages/currantreach-daemon/tests/test_http.py
@@ -371,8 +371,8 @@
 @pytest.mark.parametrize(
     ('faults', 'status'),
     [
-        ({'put': 'lost'}, 200),
-        ({'put': 'lost', 'get': 'down'}, 504),
+        ({'put config/current': 'lost'}, 200),
+        ({'put config/current': 'cut'}, 504),
         ({'put': 'down'}, 503),
     ],
 )
--- a/packages/currantreach-daemon/tests/test_quotas.py
+++ b/packages/currantreach-daemon/tests/test_quotas.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -16,6 +17,7 @@
 from currantreach_decisions import IndexedScheduler, Placement
 from currantreach_state import Allotments
 from currantreach_types import ManualClock, PolicyKind, Resources, TaskSpec
+from currantreach_types.errors import StoreUnavailableError
 
 PARTS = ('dom.0', 'dom.1')
 
@@ -47,7 +49,7 @@
         self.shed = []
         self.scheduler = IndexedScheduler()
         self.quotas = Quotas(
-            Allotments(store, clock, key, PARTS),
+            Allotments(store, clock, key, PARTS, 1),
             self.scheduler,
             self.config,
             lambda team, excess: self.shed.append(excess.slot_count),
@@ -68,6 +70,8 @@
     async def refresh(self):
         """Take a few steps."""
         for _ in range(4):
+            with contextlib.suppress(StoreUnavailableError):
+                await self.quotas._allotments.poll(0)
             await self.quotas._refresh(self.config())
 
     def usable(self):
--- a/packages/currantreach-state/src/currantreach_state/__init__.py
+++ b/packages/currantreach-state/src/currantreach_state/__init__.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
-from currantreach_state._allotments import Allotments
+from currantreach_state._allotments import (
+    AllotmentEntry,
+    AllotmentRecord,
+    Allotments,
+)
 from currantreach_state._claims import Claim, ClaimKeeper
-from currantreach_state._config_record import ConfigKeeper
+from currantreach_state._config_record import ConfigKeeper, OutageReport
 from currantreach_state._journal import Journal, JournalRecord, RecordKind
 from currantreach_state._promises import (
     Consent,
@@ -16,6 +20,8 @@
 from currantreach_state._session import MemberRecord, Session, member_key
 
 __all__ = (
+    'AllotmentEntry',
+    'AllotmentRecord',
     'Allotments',
     'Claim',
     'ClaimKeeper',
@@ -24,6 +30,7 @@
     'Journal',
     'JournalRecord',
     'MemberRecord',
+    'OutageReport',
     'PromiseBook',
     'PromiseRun',
     'RecordKind',
--- a/packages/currantreach-state/src/currantreach_state/_allotments.py
+++ b/packages/currantreach-state/src/currantreach_state/_allotments.py
@@ -1,4 +1,4 @@
-"""Division of each team's upper limit between partitions."""
+"""Upper limits of teams, divided among the partitions by escrow."""
 
 from __future__ import annotations
 
@@ -6,40 +6,67 @@
 
 import attrs
 
+from currantreach_state._allotment_record import (
+    AllotmentEntry,
+    AllotmentRecord,
+    Need,
+)
+from currantreach_state._division import divide, smaller
 from currantreach_types import Resources, decode_json, encode_json
-from currantreach_types.errors import ConflictError, LostAnswerError
+from currantreach_types.errors import (
+    ConflictError,
+    LostAnswerError,
+    StaleEpochError,
+    StoreUnavailableError,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from currantreach_platform import Store
+    from currantreach_platform import KeyValue, Store
     from currantreach_types import Clock
 
-__all__ = ('Allotments',)
+__all__ = ('AllotmentEntry', 'AllotmentRecord', 'Allotments')
 
+_PREFIX = 'allotments/'
+_NOTHING = Resources()
 
-@attrs.frozen(slots=True, kw_only=True)
-class _Entry:
+
+@attrs.frozen(eq=False, slots=True)
+class _Doubt:
+    """A write whose effect is not known.
+
+    :ivar base_revision: revision that the write replaces.
+    :ivar granted: own room if it took effect.
+    """
+
+    base_revision: int
     granted: Resources
-    demand: Resources = Resources()
 
 
-@attrs.frozen(slots=True, kw_only=True)
-class _TeamRecord:
-    upper_limit: Resources
-    entries: dict[str, _Entry]
+@attrs.define(eq=False, slots=True)
+class _TeamState:
+    """What is known about one team.
 
-    def unassigned(self) -> Resources:
-        """Return what no partition holds."""
-        held = (entry.granted for entry in self.entries.values())
-        return self.upper_limit - sum(held, Resources())
+    :ivar settled: own room in the store, absent before the entry is taken.
+    :ivar confirmed_revision: newest configuration with the record's limit.
+    :ivar must_read: whether the record has changed in an unknown way.
+    """
+
+    record: AllotmentRecord | None = None
+    revision: int = 0
+    settled: Resources | None = None
+    doubts: list[_Doubt] = attrs.field(factory=list)
+    confirmed_revision: int = 0
+    must_read: bool = False
 
 
 class Allotments:
-    """Allotments of one partition; each owner changes only its own entries.
+    """Allotments of all teams to one partition.
 
-    An entry is lowered in memory first and raised in the store first, so the
-    sum of what all owners use never exceeds the limit in the store.
+    The room in memory is never above the own entry of any record that the
+    store may hold, so the room of all partitions together respects the
+    limit.
     """
 
     def __init__(
@@ -48,117 +75,210 @@
         clock: Clock,
         partition_key: str,
         partition_keys: Sequence[str],
+        epoch: int,
     ) -> None:
-        """Start without any allotment."""
+        """Prepare for an owner.
+
+        :param epoch: epoch of the claim, at least 1; taking over each entry
+            with it makes delayed writes of an earlier owner fail.
+        """
         self._store = store
         self._clock = clock
         self._key = partition_key
-        self._keys = tuple(partition_keys)
-        self._granted: dict[str, Resources] = {}
-        self._records: dict[str, _TeamRecord] = {}
+        self._keys = frozenset((*partition_keys, partition_key))
+        self._epoch = epoch
+        self._teams: dict[str, _TeamState] = {}
+        self._watched_revision: int | None = None
 
     def granted(self, team: str) -> Resources:
-        """Return what the partition may use for a team."""
-        return self._granted.get(team, Resources())
+        """Return what this partition may use for a team."""
+        state = self._teams.get(team)
+        if state is None or state.settled is None or state.record is None:
+            return _NOTHING
+        part = state.record.parts.get(self._key, state.settled)
+        doubts = (doubt.granted for doubt in state.doubts)
+        return smaller(state.settled, part, *doubts)
 
     def excess(self, team: str, usage: Resources) -> Resources:
-        """Return what has to be freed."""
-        over = usage - self.granted(team)
-        return over.at_least(Resources())
-
-    def is_in_force(self, team: str, upper_limit: Resources) -> bool:
-        """Tell whether the entries fit in an upper limit."""
-        record = self._records.get(team)
-        if record is None or record.upper_limit != upper_limit:
+        """Return what must be checkpointed or stopped."""
+        state = self._teams.get(team)
+        if state is None or state.settled is None:
+            return _NOTHING
+        return (usage - self.granted(team)).at_least(_NOTHING)
+
+    def is_in_force(self, team: str, limit_revision: int) -> bool:
+        """Tell whether all entries respect the limit of a revision."""
+        state = self._teams.get(team)
+        if state is None or state.record is None:
             return False
-        return Resources().fits_in(record.unassigned())
+        known_revision = max(
+            state.record.limit_revision,
+            state.confirmed_revision,
+        )
+        return known_revision >= limit_revision and state.record.is_in_force
+
+    async def poll(self, timeout_s: float) -> None:
+        """Read the changes of all teams with one call.
+
+        :raises PlatformError: if the store did not answer.
+        """
+        if self._watched_revision is None:
+            changes = await self._store.list_prefix(_PREFIX)
+        else:
+            changes = await self._store.watch(
+                _PREFIX,
+                self._watched_revision,
+                timeout_s,
+            )
+        for found in changes.changed:
+            self._observe(found)
+        self._watched_revision = max(
+            changes.revision,
+            self._watched_revision or 0,
+        )
 
     async def refresh(
         self,
         team: str,
         upper_limit: Resources,
+        limit_revision: int,
         usage: Resources,
         demand: Resources,
+        share: float,
     ) -> None:
-        """Take one step towards the division that demand asks for.
+        """Make one step: read what is missing, or write what has changed.
+
+        A call that reads does not write, because the usage that it was
+        given may have grown while it waited for the store.
 
-        :raises PlatformError: if the store does not answer.
+        :param usage: room of running, starting and unknown tasks.
+        :param demand: room that waiting tasks ask for on top.
+        :param share: weight of this partition in the division.
+        :raises StaleEpochError: if a later owner has taken the entry.
+        :raises PlatformError: if the store did not answer.
         """
-        key = f'allotments/{team}'
-        current = await self._store.get(key)
-        revision = 0 if current is None else current.revision
-        record = (
-            self._first(upper_limit)
-            if current is None
-            else decode_json(current.stored, _TeamRecord)
-        )
-        wanted = self._step(record, upper_limit, usage, demand)
-        own = wanted.entries[self._key].granted
-        known = self._granted.get(team)
-        if known is not None:
-            self._granted[team] = _smaller(known, own)
-        if current is None or wanted != record:
-            try:
-                await self._store.put(key, encode_json(wanted), revision)
-            except (ConflictError, LostAnswerError):
-                # The next step reads what the store holds.
-                return
-        self._records[team] = wanted
-        self._granted[team] = own
-
-    def _first(self, upper_limit: Resources) -> _TeamRecord:
-        return _TeamRecord(
-            upper_limit=upper_limit,
-            entries={
-                key: _Entry(granted=_part(upper_limit, index, len(self._keys)))
-                for index, key in enumerate(self._keys)
-            },
+        state = self._teams.setdefault(team, _TeamState())
+        if self._watched_revision is None:
+            await self.poll(0)
+            return
+        if state.must_read:
+            await self._read(team, state)
+            return
+        need = Need(usage=usage, demand=demand, share=share)
+        planned = self._plan(state, upper_limit, limit_revision, need)
+        # With a doubt, writing the same record settles what was lost.
+        if planned != state.record or state.doubts:
+            await self._write(team, state, planned)
+        elif planned.upper_limit == upper_limit:
+            state.confirmed_revision = limit_revision
+
+    def _plan(
+        self,
+        state: _TeamState,
+        upper_limit: Resources,
+        limit_revision: int,
+        need: Need,
+    ) -> AllotmentRecord:
+        if state.record is None:
+            return self._new_record(upper_limit, limit_revision)
+        record = state.record.with_limit(upper_limit, limit_revision)
+        entry = record.entries.get(self._key, AllotmentEntry())
+        if entry.epoch > self._epoch:
+            raise StaleEpochError(
+                f'epoch {entry.epoch} has the allotments; stop this owner',
+            )
+        if entry.epoch < self._epoch:
+            taken = attrs.evolve(entry, epoch=self._epoch, share=need.share)
+            return record.with_entry(self._key, taken)
+        moved = need.next_entry(record, self._key)
+        if moved == entry:
+            return record
+        return record.with_entry(
+            self._key,
+            attrs.evolve(moved, share=need.share),
         )
 
-    def _step(
+    def _new_record(
         self,
-        record: _TeamRecord,
         upper_limit: Resources,
-        usage: Resources,
-        demand: Resources,
-    ) -> _TeamRecord:
-        record = attrs.evolve(record, upper_limit=upper_limit)
-        entries = dict(record.entries)
-        own = entries.get(self._key, _Entry(granted=Resources()))
-        granted = own.granted
-        unassigned = record.unassigned()
-        index = self._keys.index(self._key)
-        part = _part(upper_limit, index, len(self._keys))
-        needed = usage + demand
-        if not Resources().fits_in(unassigned):
-            granted = _smaller(granted, part)
-        elif not needed.fits_in(granted):
-            free = unassigned.at_least(Resources())
-            granted += _smaller(free, (needed - granted).at_least(Resources()))
-        elif self._is_asked_for(entries):
-            kept = needed.at_least(_part(part, 0, 2))
-            granted = _smaller(granted, kept)
-        entries[self._key] = _Entry(granted=granted, demand=demand)
-        return attrs.evolve(record, entries=entries)
-
-    def _is_asked_for(self, entries: dict[str, _Entry]) -> bool:
-        return any(
-            entry.demand != Resources()
-            for key, entry in entries.items()
-            if key != self._key
+        limit_revision: int,
+    ) -> AllotmentRecord:
+        equal = divide(upper_limit, dict.fromkeys(self._keys, 1))
+        entries = {
+            key: AllotmentEntry(
+                granted=granted,
+                epoch=self._epoch if key == self._key else 0,
+            )
+            for key, granted in equal.items()
+        }
+        return AllotmentRecord(
+            upper_limit=upper_limit,
+            limit_revision=limit_revision,
+            entries=entries,
         )
 
+    async def _read(self, team: str, state: _TeamState) -> None:
+        found = await self._store.get(_PREFIX + team)
+        state.must_read = False
+        if found is not None:
+            self._observe(found)
 
-def _part(whole: Resources, index: int, count: int) -> Resources:
-    """Return an equal part; the first ones get the remainder."""
-    return Resources(
-        *(
-            amount // count + (index < amount % count)
-            for amount in attrs.astuple(whole)
-        ),
-    )
+    async def _write(
+        self,
+        team: str,
+        state: _TeamState,
+        planned: AllotmentRecord,
+    ) -> None:
+        granted = planned.entries[self._key].granted
+        part = planned.parts.get(self._key, granted)
+        doubt = _Doubt(state.revision, smaller(granted, part))
+        state.doubts.append(doubt)
+        try:
+            revision = await self._store.put(
+                _PREFIX + team,
+                encode_json(planned),
+                doubt.base_revision,
+            )
+        except LostAnswerError:
+            state.must_read = True
+            raise
+        except StoreUnavailableError:
+            _discard(state, doubt)
+            raise
+        except ConflictError:
+            state.must_read = True
+            _discard(state, doubt)
+            return
+        self._take(state, planned, revision)
+
+    def _observe(self, found: KeyValue) -> None:
+        team = found.key.removeprefix(_PREFIX)
+        state = self._teams.setdefault(team, _TeamState())
+        record = decode_json(found.stored, AllotmentRecord)
+        self._take(state, record, found.revision)
+
+    def _take(
+        self,
+        state: _TeamState,
+        record: AllotmentRecord,
+        revision: int,
+    ) -> None:
+        """Take over a record unless a newer one is known."""
+        if revision <= state.revision:
+            return
+        if state.record and state.record.upper_limit != record.upper_limit:
+            state.confirmed_revision = 0
+        state.record = record
+        state.revision = revision
+        # Writes that replace an earlier revision have either led to this
+        # record or can no longer take effect.
+        state.doubts = []
+        entry = record.entries.get(self._key, AllotmentEntry())
+        if entry.epoch == self._epoch:
+            state.settled = entry.granted
+        elif state.settled is not None:
+            state.settled = _NOTHING
 
 
-def _smaller(first: Resources, second: Resources) -> Resources:
-    amounts = zip(attrs.astuple(first), attrs.astuple(second), strict=True)
-    return Resources(*(min(pair) for pair in amounts))
+def _discard(state: _TeamState, doubt: _Doubt) -> None:
+    state.doubts = [other for other in state.doubts if other is not doubt]
--- a/packages/currantreach-state/tests/records/conftest.py
+++ b/packages/currantreach-state/tests/records/conftest.py
@@ -49,9 +49,10 @@
 class FakeStore(Store):
     """Store in memory.
 
-    Each call takes the next of ``faults``: ``outage``, ``dropped`` (no
-    effect, no answer), ``lost`` (effect, no answer), ``late`` (no answer,
-    effect after ``late_s``) or ``slow`` (effect, answer after ``late_s``).
+    Each call, or each of ``faulty_kinds``, takes the next of ``faults``:
+    ``outage``, ``dropped`` (no effect, no answer), ``lost`` (effect, no
+    answer), ``late`` (no answer, effect after ``late_s``) or ``slow``
+    (effect, answer after ``late_s``).
     """
 
     def __init__(self, clock):
@@ -59,6 +60,7 @@
         self.rows = {}
         self.revision = 0
         self.faults = collections.deque()
+        self.faulty_kinds = frozenset()
         self.calls = collections.Counter()
         self.is_down = False
         self.latency_s = 0.002
@@ -98,21 +100,17 @@
             'watch', lambda: self._below(prefix, after_revision)
         )
 
-    async def grant_lease(self, ttl_s):
-        raise NotImplementedError
-
-    async def renew_lease(self, lease_id):
-        raise NotImplementedError
-
-    async def revoke_lease(self, lease_id):
-        raise NotImplementedError
+    grant_lease = None
+    renew_lease = None
+    revoke_lease = None
 
     async def close(self):
         self.rows.clear()
 
     async def _call(self, kind, effect):
         self.calls[kind] += 1
-        fault = self.faults.popleft() if self.faults else ''
+        is_faulty = not self.faulty_kinds or kind in self.faulty_kinds
+        fault = self.faults.popleft() if self.faults and is_faulty else ''
         await asyncio.sleep(self.latency_s)
         if self.is_down or fault == 'outage':
             raise StoreUnavailableError('the fake store is down')
