Queue a gang again whose last task finished alone

Cause: when the starts of some tasks of a gang failed, the others were told to stop. A stop that overtook the start of a task had no effect; the task ran to its end, and nothing queued the gang again. It stayed running for ever.

Change: when the last task of an incomplete gang finishes, the gang is queued again, or ended as failed if it is unrepeatable. While an owner recovers, the recovery settles it as before.

--- a/packages/currantreach-daemon/src/currantreach_daemon/_task_events.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_task_events.py
@@ -154,6 +154,7 @@
             entry.outputs[task.task_id] = task.output
             self._endings.retire_later(entry, worker, task)
             self._endings.finish_if_complete(entry)
+            self._settle_incomplete(entry)
             return
         if entry.spec.is_unrepeatable:
             self._endings.retire_later(entry, worker, task)
@@ -161,6 +162,22 @@
             self._endings.retire_task(worker, task.task_id)
         self._end_or_retry(entry, task.phase)
 
+    def _settle_incomplete(self, entry: RequestEntry) -> None:
+        """Settle a gang whose last task finished while others never ran.
+
+        A stop that overtakes the start of a task does not end it.
+        """
+        if entry.is_closing or entry.workers:
+            return
+        if not self._recovery.finished.is_set():
+            return
+        if entry.spec.is_unrepeatable:
+            self._endings.end(
+                entry, RequestState.failed, reason='gang_incomplete'
+            )
+        else:
+            self._starts.settle_partial(entry)
+
     def _end_or_retry(self, entry: RequestEntry, phase: TaskPhase) -> None:
         is_spent = entry.attempt_count >= _ATTEMPT_LIMIT
         if entry.is_cancelled:
