Free the room of a task only for its present run

Cause: an ended run of a task that its worker still listed, seen again after a lost answer or a renewal, freed the room of the later run of the same task on another worker. That worker was then given more than it holds.

Change: the end of a stray task frees room only if the request has no later run and the end was not seen before.

--- a/packages/currantreach-daemon/src/currantreach_daemon/_endings.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_endings.py
@@ -108,7 +108,8 @@
             if link is not None:
                 self._state.spawn(link.stop((task.task_id,)))
         else:
-            self._state.give_back(task.task_id, TaskEnd.finished)
+            if entry is None or entry.holds_room(worker, task.task_id):
+                self._state.give_back(task.task_id, TaskEnd.finished)
             if entry is not None and not entry.ended.is_set():
                 self.retire_later(entry, worker, task)
             else:
--- a/packages/currantreach-daemon/src/currantreach_daemon/_requests.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_requests.py
@@ -90,6 +90,16 @@
         """Return the id of the request."""
         return self.spec.request_id
 
+    def holds_room(self, worker: str, task_id: str) -> bool:
+        """Tell whether the room of a task may be the one on this worker.
+
+        An earlier run of it, here or elsewhere, gave its room back when it
+        ended; the room now belongs to a later run.
+        """
+        if (worker, task_id) in self.closed_on:
+            return False
+        return self.workers.get(task_id, worker) == worker
+
 
 class RequestTable:
     """Requests in progress, and ended ones until they are retired.
