--- a/packages/currantreach-daemon/src/currantreach_daemon/_requests.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_requests.py
@@ -147,14 +147,6 @@
         return self.answer.request_id
 
 
-        An earlier run of it, here or elsewhere, gave its room back when it
-        ended; the room now belongs to a later run.
-        """
-        if (worker, task_id) in self.closed_on:
-            return False
-        return self.workers.get(task_id, worker) == worker
-
-
 class RequestTable:
     """Requests in progress, and ended ones until they are retired.
 
