Follow a worker that returns to its first address

Cause: the entry of the host list was compared with the address in use, so a worker that moved and came back before it was adopted was looked for under the address in between until its entry changed again.

Change: each entry of the host list is handed to the link.

--- a/packages/currantreach-daemon/src/currantreach_daemon/_worker_link.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_worker_link.py
@@ -131,9 +131,10 @@
         self._wakeup.set()
 
     def move(self, worker: WorkerInfo) -> None:
-        """Adopt the worker again under the address of its new entry."""
+        """Follow the host list; a new address needs another adoption."""
         self._listed = worker
-        self._wakeup.set()
+        if worker.url != self.worker.url:
+            self._wakeup.set()
 
     def has_expired(self) -> bool:
         """Tell whether all tasks of a silent worker have ended for certain."""
--- a/packages/currantreach-daemon/src/currantreach_daemon/_worker_set.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_worker_set.py
@@ -98,7 +98,7 @@
         link = self._state.links.get(name)
         if link is None:
             self._open_link(host)
-        elif link.worker.url != host.url:
+        else:
             link.move(host)
         self._state.tools.scheduler.set_worker(host, is_open=self.is_open(name))
 
--- a/packages/currantreach-daemon/tests/test_owner.py
+++ b/packages/currantreach-daemon/tests/test_owner.py
@@ -464,7 +464,10 @@
 
     async def scenario(cell):
         moved = cell.workers['w1']
-        moved.url = 'http://elsewhere'
+        first_url = moved.url
+        for url in ('http://nowhere', first_url, 'http://elsewhere'):
+            moved.url = url
+            cell.list_hosts()
         moved.capacity = Resources(1, 1000, 1000)
         moved.clear()
         cell.list_hosts()
