Refuse work at an owner whose claim has lapsed

Cause: an owner cut off from the store and its peers accepted prompt work that it may not start, and decided nothing any more, so that the work was neither started nor refused by its deadline.

Change: such an owner accepts nothing new, and refuses prompt work whose deadline has passed; no start was sent for it.

--- a/packages/currantreach-daemon/src/currantreach_daemon/_owner.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_owner.py
@@ -113,7 +113,7 @@
             return known.answer
         if self._may_have_run(spec.request_id):
             return self._unknown_answer(spec.request_id)
-        if not (self._is_recorded.is_set() and self.has_limits.is_set()):
+        if not self._is_ready():
             return not_run_answer(spec.request_id, refusals.NO_OWNER)
         entry = self._state.new_entry(spec, body_hash)
         refusal = self._queue(spec)
@@ -264,6 +264,7 @@
                 pass  # noqa: WPS420
             self._state.wakeup.clear()
             if clock.now_s() >= self._tools.deadline_s():
+                self._starts.refuse_late()
                 continue
             began_s = clock.now_s()
             decisions = self._tools.scheduler.decide(began_s)
@@ -280,6 +281,11 @@
         for preemption in decisions.preemptions:
             self.preempt(preemption.worker, (preemption.task_id,))
 
+    def _is_ready(self) -> bool:
+        """Tell whether new work can be accepted and started."""
+        is_open = self._is_recorded.is_set() and self.has_limits.is_set()
+        return is_open and self._state.now_s() < self._tools.deadline_s()
+
     def _queue(self, spec: TaskSpec) -> Refusal | None:
         if not self._state.table.has_room(spec):
             return refusals.QUEUE_FULL
--- a/packages/currantreach-daemon/src/currantreach_daemon/_starts.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_starts.py
@@ -32,6 +32,7 @@
 __all__ = ('Starts',)
 
 _SETTLE_RETRY_S = 1
+_REFUSE_LATE_INTERVAL_S = 0.5
 _TEMPORARY = frozenset((refusals.QUEUE_FULL, refusals.NEVER_FITS))
 
 
@@ -42,6 +43,7 @@
         """Work on the state of one owner."""
         self._state = state
         self._endings = endings
+        self._refused_late_s = float('-inf')
         self._budget = RetryBudget(
             state.tools.clock,
             state.tools.retry_budget_ratio,
@@ -98,6 +100,22 @@
         for placement in held:
             self.dispatch(placement)
 
+    def refuse_late(self) -> None:
+        """Refuse prompt requests that a lapsed claim kept from starting."""
+        now_s = self._state.now_s()
+        if now_s < self._refused_late_s + _REFUSE_LATE_INTERVAL_S:
+            return
+        self._refused_late_s = now_s
+        late = [
+            entry.request_id
+            for entry in self._state.table
+            if _is_late(entry, now_s)
+        ]
+        for request_id in self._state.tools.scheduler.cancel(late):
+            entry = self._state.table.get(request_id)
+            if entry is not None:
+                self._endings.refuse(entry, refusals.DEADLINE_UNREACHABLE)
+
     def retry_failed(self, entry: RequestEntry) -> None:
         """Run a request again after a failure, as far as its budget goes."""
         if not self._budget.take(entry.spec.team):
@@ -268,3 +286,10 @@
     if isinstance(error, StaleEpochError):
         return refusals.NO_OWNER
     return refusals.STORE_UNAVAILABLE
+
+
+def _is_late(entry: RequestEntry, now_s: float) -> bool:
+    deadline_s = entry.spec.deadline_s
+    if entry.is_durable or deadline_s is None:
+        return False
+    return now_s > entry.submitted_s + deadline_s
--- a/packages/currantreach-daemon/tests/test_owner.py
+++ b/packages/currantreach-daemon/tests/test_owner.py
@@ -196,6 +196,28 @@
     simulate(scenario)
 
 
+def test_lapsed_claim(simulate):
+    """Prompt work waits for ever at an owner that may start nothing."""
+
+    async def scenario(cell):
+        cell.closed = set(cell.workers)
+        cell.list_hosts()
+        spec = cell.spec('prompt', deadline_s=2)
+        await cell.submit(spec)
+        cell.deadline_s = cell.clock.now_s()
+        cell.closed = set()
+        cell.list_hosts()
+        assert (await cell.submit(cell.spec('prompt'))).reason == 'no_owner'
+        answer = await cell.final(spec.request_id, 3)
+        assert (answer.state, answer.reason) == (
+            'not_run',
+            'deadline_unreachable',
+        )
+        assert not cell.calls['start']
+
+    simulate(scenario)
+
+
 def test_cancel(simulate):
     """A cancelled request runs, or is called not run after it ran (P6)."""
 
--- a/packages/currantreach-daemon/tests/test_recovery.py
+++ b/packages/currantreach-daemon/tests/test_recovery.py
@@ -149,3 +149,21 @@
         assert cell.start_count(spec.request_id) == 1
 
     simulate(scenario)
+
+
+@pytest.mark.parametrize('is_unrepeatable', [True, False])
+def test_cancel_after_takeover(simulate, is_unrepeatable):
+    """Work that the predecessor may have run is called not run (P6)."""
+
+    async def scenario(cell):
+        cell.closed = set(cell.workers)
+        cell.list_hosts()
+        spec = cell.spec(is_unrepeatable=is_unrepeatable)
+        await cell.submit(spec)
+        await cell.replace_owner()
+        await asyncio.sleep(1)
+        cell.owner.cancel([spec.request_id], 'tine')
+        expected = 'not_run' if is_unrepeatable else 'failed'
+        assert (await cell.final(spec.request_id)).state == expected
+
+    simulate(scenario)
