Prefer a peer with a higher epoch over the local owner

Cause: a daemon whose owner lost its claim without notice, because the store was out of its reach, went on asking that owner, although the heartbeats of the successor reached it.

Change: the router compares the epochs.

--- a/packages/currantreach-daemon/src/currantreach_daemon/_peers.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_peers.py
@@ -106,12 +106,22 @@
                 for owned in peer.heartbeat.owned:
                     yield peer, owned
 
-    def owner_of(self, domain: str, partition: int) -> Peer | None:
-        """Return the reachable peer with the highest epoch of a partition."""
+    def owner_of(
+        self,
+        domain: str,
+        partition: int,
+        least_epoch: int = 0,
+    ) -> Peer | None:
+        """Return the reachable peer with the highest epoch of a partition.
+
+        :param least_epoch: lower epochs do not count.
+        """
         found: tuple[int, Peer] | None = None
         for peer, owned in self.owners():
             if (owned.domain, owned.partition) != (domain, partition):
                 continue
+            if owned.epoch < least_epoch:
+                continue
             if found is None or owned.epoch > found[0]:
                 found = (owned.epoch, peer)
         return None if found is None else found[1]
--- a/packages/currantreach-daemon/src/currantreach_daemon/_router.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_router.py
@@ -246,12 +246,18 @@
 
     def _owner(self, request_id: str) -> Owner | PeerOwner | None:
         parsed = RequestId.parse(request_id)
+        local: Owner | None = None
         if parsed.domain == self._domain:
             local = self.owners.get(parsed.partition)
-            if local is not None:
-                return local
-        peer = self._peers.owner_of(parsed.domain, parsed.partition)
-        return None if peer is None else PeerOwner(peer)
+        # An owner that lost its claim without notice stays in the table, so
+        # a peer with a higher epoch goes first.
+        least_epoch = 0 if local is None else local.claim.epoch + 1
+        peer = self._peers.owner_of(
+            parsed.domain,
+            parsed.partition,
+            least_epoch,
+        )
+        return local if peer is None else PeerOwner(peer)
 
     async def _cancel_at(
         self,
--- a/packages/currantreach-daemon/tests/test_routing.py
+++ b/packages/currantreach-daemon/tests/test_routing.py
@@ -14,7 +14,7 @@
 from currantreach_daemon._requests import not_run_answer
 from currantreach_daemon._router import Router
 from currantreach_links import NotSentError
-from currantreach_state import ConfigKeeper
+from currantreach_state import Claim, ConfigKeeper
 from currantreach_types import (
     Answer,
     HostState,
@@ -68,6 +68,10 @@
 class LocalOwner:
     """Owner that notes cancellations."""
 
+    claim = Claim(
+        domain='dom', partition=0, owner='me', session_id='s', epoch=2
+    )
+
     def __init__(self):
         self.hosts = []
 
@@ -107,10 +111,10 @@
     owners: dict
     own: list
 
-    def owned_by(self, number, epoch):
-        """Let a peer tell that it owns the far partition."""
+    def owned_by(self, number, epoch, domain='far'):
+        """Let a peer tell that it owns a partition."""
         owned = OwnedPartition(
-            domain='far',
+            domain=domain,
             partition=0,
             epoch=epoch,
             waiting_count=0,
@@ -191,6 +195,18 @@
     assert net.table.owner_of('far', 0) is None
 
 
+@pytest.mark.parametrize(('epoch', 'is_local'), [(1, True), (3, False)])
+async def test_successor_of_local_owner(net, epoch, is_local):
+    """An owner that was replaced unnoticed answers for its successor."""
+    net.owners[0] = LocalOwner()
+    net.owned_by(0, epoch, 'dom')
+    net.links[0].answers['cancel'] = [LinkError('x')]
+    answers = await net.router.cancel(['dom.0.2.a'], 'tine')
+    expected = 'not_run' if is_local else 'unknown'
+    assert answers[0].state == expected
+    assert (not net.links[0].calls) is is_local
+
+
 async def test_wait_for_successor(net, monkeypatch):
     """A caller is left without its answer while the owner changes (P5)."""
     monkeypatch.setattr('currantreach_daemon._router._ASK_AGAIN_S', 0)
