--- a/packages/currantreach-daemon/tests/test_owner.py
+++ b/packages/currantreach-daemon/tests/test_owner.py
@@ -196,6 +196,28 @@
     simulate(scenario)
 
 
+def test_lapsed_claim(simulate):
+    """Prompt work waits for ever at an owner that may start nothing."""
+
+    async def scenario(cell):
+        cell.closed = set(cell.workers)
+        cell.list_hosts()
+        spec = cell.spec('prompt', deadline_s=2)
+        await cell.submit(spec)
+        cell.deadline_s = cell.clock.now_s()
+        cell.closed = set()
+        cell.list_hosts()
+        assert (await cell.submit(cell.spec('prompt'))).reason == 'no_owner'
+        answer = await cell.final(spec.request_id, 3)
+        assert (answer.state, answer.reason) == (
+            'not_run',
+            'deadline_unreachable',
+        )
+        assert not cell.calls['start']
+
+    simulate(scenario)
+
+
 def test_cancel(simulate):
     """A cancelled request runs, or is called not run after it ran (P6)."""
 
@@ -464,7 +486,10 @@
 
     async def scenario(cell):
         moved = cell.workers['w1']
-        moved.url = 'http://elsewhere'
+        first_url = moved.url
+        for url in ('http://nowhere', first_url, 'http://elsewhere'):
+            moved.url = url
+            cell.list_hosts()
         moved.capacity = Resources(1, 1000, 1000)
         moved.clear()
         cell.list_hosts()
