--- a/proofs/test_golden.py
+++ b/proofs/test_golden.py
@@ -106,7 +106,7 @@
     for step, body in bad.items():
         await session.submit(step, body, key)
     await session.submit('no key', PREVIEW, '')
-    await session.submit('an unknown key', PREVIEW, 'crk_x_' + 43 * 'x')
+    await session.submit('an unknown key', PREVIEW, f'crk_x_{43 * "x"}')
     await session.submit(
         'a key of another team', PREVIEW, cell.keys['tine-lab']
     )
