--- a/packages/currantreach-daemon/tests/test_worker_link.py
+++ b/packages/currantreach-daemon/tests/test_worker_link.py
@@ -171,7 +171,7 @@
         link.start(placed)
         await asyncio.sleep(20)
         worker.delays['renew', 'effect'] = asyncio.Event()
-        await asyncio.sleep(4)
+        await asyncio.sleep(4.4)
         worker.is_cut = True
         worker.delays.pop(('renew', 'effect')).set()
         while 'lost' not in listener.of(placed.task_id):
