Try a configuration write again when the history answer was lost

Cause: the keeper writes the history before the record; when the answer to the history write was lost, the change was refused, and a change found to be written already left no history, so the next one had to write it. Change: reading and writing the history are tried again, and a change that was found written is kept in the history. Result: proofs/test_configuration.py::test_lost_answer_to_apply failed before (no revision after 60 s) and passes now.

--- a/packages/currantreach-state/src/currantreach_state/_config_record.py
+++ b/packages/currantreach-state/src/currantreach_state/_config_record.py
@@ -229,8 +229,12 @@
             found = await self._store.get(_CURRENT_KEY)
             current = _decoded(found) if found else None
             if await self._is_written(next_record, current):
+                await self._keep_new_history(next_record)
                 return True
             await self._keep_history(current)
+        except LostAnswerError:
+            # Reading and keeping the history can be done again.
+            return False
         except PlatformError as exc:
             raise self._failure(next_record, exc) from exc
         try:
