Let tests of gangs and cancellations fail for the faults they name

Change: the request waits while it is recorded and cancelled, all stops are lost, and the tasks of the gang end at once.

--- a/packages/currantreach-daemon/tests/test_owner.py
+++ b/packages/currantreach-daemon/tests/test_owner.py
@@ -256,6 +256,8 @@
     """Work that was cancelled as not run is run by the successor (P6)."""
 
     async def scenario(cell):
+        cell.closed = set(cell.workers)
+        cell.list_hosts()
         cell.journal.held = asyncio.Event()
         cell.journal.faults.append(fault)
         spec = cell.spec()
@@ -266,6 +268,7 @@
         await submitted
         answer = await cell.final(spec.request_id)
         assert answer.state == 'not_run'
+        cell.closed = set()
         await cell.replace_owner()
         await asyncio.sleep(3)
         assert cell.start_count(spec.request_id) == 0
@@ -286,7 +289,7 @@
         if fault == 'lost':
             first.end(next(iter(first.running)), TaskPhase.failed)
         elif fault == 'stopped':
-            first.dropped['stop'] = 1
+            first.dropped['stop'] = 99
             first.end(next(iter(first.running)), TaskPhase.stopped)
         elif fault == 'cut':
             first.is_cut = True
@@ -324,7 +327,9 @@
     async def scenario(cell):
         for worker in cell.list()[:1]:
             worker.dropped['start'] = 1
-        spec = cell.spec('gang', gang_size=8, is_unrepeatable=True)
+        spec = cell.spec(
+            'gang', gang_size=8, is_unrepeatable=True, expected_run_s=0.1
+        )
         await cell.submit(spec)
         answer = await cell.final(spec.request_id)
         assert answer.state in {'failed', 'unknown'}
