Refresh the allotments only of teams for which something changed

Cause: each owner planned a step for each team four times a second. Change: a step, the terms and the excess of a team are computed again only when its usage, demand, record or configuration changed.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -22,7 +22,17 @@
 
 __all__ = ('main',)
 
-_DOMAINS = ('north', 'middle', 'south', 'east', 'west', 'river', 'hill', 'lake')
+_DOMAINS = (
+    'north',
+    'middle',
+    'south',
+    'east',
+    'west',
+    'river',
+    'hill',
+    'lake',
+    'shore',
+)
 _TEAM = 'nib-works'
 _QUEUE = 'tip-smoothing-preview'
 
@@ -41,6 +51,7 @@
     rate: float
     seconds: float
     load_count: int = 2
+    extra_team_count: int = 0
 
 
 @attrs.define(slots=True, kw_only=True)
@@ -116,6 +127,7 @@
         domains=_DOMAINS[: case.domain_count],
         daemon_count=case.daemon_count,
         worker_count=case.worker_count,
+        extra_team_count=case.extra_team_count,
     )
     with tempfile.TemporaryDirectory() as directory:
         async with Cell(plan, pathlib.Path(directory)) as cell:
@@ -193,6 +205,7 @@
         default=[-1, 100, 0],
         help='requests a second; 0: as many as possible; -1: none',
     )
+    parser.add_argument('--teams', type=int, default=0)
     parser.add_argument('--seconds', type=float, default=5)
     chosen = parser.parse_args()
     for domain_count in chosen.domains:
@@ -205,6 +218,7 @@
                         worker_count=worker_count,
                         rate=rate,
                         seconds=chosen.seconds,
+                        extra_team_count=chosen.teams,
                     )
                     figures = asyncio.run(run_case(case))
                     sys.stdout.write(f'{json.dumps(figures)}\n')
--- a/packages/currantreach-daemon/src/currantreach_daemon/_quotas.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_quotas.py
@@ -5,15 +5,17 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import attrs
+
 from currantreach_daemon._log import log_problem
 from currantreach_decisions import TeamTerms
 from currantreach_types import Resources
 from currantreach_types.errors import LostAnswerError, StoreUnavailableError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
-    from currantreach_config import ConfigRecord
+    from currantreach_config import ConfigRecord, TeamConfig
     from currantreach_decisions import Scheduler
     from currantreach_state import Allotments
 
@@ -24,6 +26,22 @@
 _PARTITION_WEIGHT = 1
 
 
+@attrs.frozen(slots=True, kw_only=True)
+class _Inputs:
+    """What a step for one team depends on.
+
+    :ivar used: room of tasks that run or may run.
+    :ivar is_unread_known: whether the workers of the partition are known.
+    :ivar version: see :meth:`Allotments.version`.
+    """
+
+    limit_revision: int
+    used: Resources
+    demand: Resources
+    is_unread_known: bool
+    version: tuple[int, bool]
+
+
 class Quotas:
     """Keeps the scheduler's team terms in line with the allotments.
 
@@ -50,6 +68,8 @@
         self._shed = shed
         self._has_limits = has_limits
         self._unread_capacity = unread_capacity
+        self._settled: dict[str, _Inputs] = {}
+        self._terms: dict[str, TeamTerms] = {}
 
     async def keep(self) -> None:
         """Refresh the allotments for ever."""
@@ -77,43 +97,74 @@
             await asyncio.sleep(_REFRESH_INTERVAL_S)
 
     async def _refresh(self, record: ConfigRecord) -> None:
-        usage = self._scheduler.usage()
-        demand = self._scheduler.demand()
-        unread = self._unread_capacity() or Resources()
-        for team in record.cell.teams:
-            # Tasks that were not seen yet count too, so that their room is
-            # not given to another partition.
-            used = usage.get(team.name, Resources()) + unread
+        """Make a step for each team for which something has changed."""
+        unread = self._unread_capacity()
+        inputs = self._inputs(record, unread)
+        changed = [
+            team
+            for team in record.cell.teams
+            if self._settled.get(team.name) != inputs[team.name]
+        ]
+        for team in changed:
             try:
-                await self._allotments.refresh(
-                    team.name,
-                    team.upper_limit,
-                    record.revision,
-                    used,
-                    demand.get(team.name, Resources()),
-                    _PARTITION_WEIGHT,
-                )
+                await self._step(team, inputs[team.name])
             except (StoreUnavailableError, LostAnswerError) as exc:
-                log_problem(
-                    'allotment_failed',
-                    team=team.name,
-                    error=exc,
-                )
+                log_problem('allotment_failed', team=team.name, error=exc)
                 return
-        self._set_terms(record)
+        if changed or not self._has_limits.is_set():
+            self._set_terms(record, changed, unread)
         self._has_limits.set()
-        self._shed_excess(record)
+        self._shed_excess(record, changed)
 
-    def _set_terms(self, record: ConfigRecord) -> None:
-        unread = self._unread_capacity()
+    def _inputs(
+        self,
+        record: ConfigRecord,
+        unread: Resources | None,
+    ) -> dict[str, _Inputs]:
+        usage = self._scheduler.usage()
+        demand = self._scheduler.demand()
+        return {
+            team.name: _Inputs(
+                limit_revision=record.revision,
+                # Tasks that were not seen yet count too, so that their room
+                # is not given to another partition.
+                used=usage.get(team.name, Resources())
+                + (unread or Resources()),
+                demand=demand.get(team.name, Resources()),
+                is_unread_known=unread is not None,
+                version=self._allotments.version(team.name),
+            )
+            for team in record.cell.teams
+        }
+
+    async def _step(self, team: TeamConfig, inputs: _Inputs) -> None:
+        await self._allotments.refresh(
+            team.name,
+            team.upper_limit,
+            inputs.limit_revision,
+            inputs.used,
+            inputs.demand,
+            _PARTITION_WEIGHT,
+        )
+        version = self._allotments.version(team.name)
+        if version == inputs.version and version[1]:
+            self._settled[team.name] = inputs
+        else:
+            self._settled.pop(team.name, None)
+
+    def _set_terms(
+        self,
+        record: ConfigRecord,
+        changed: Sequence[TeamConfig],
+        unread: Resources | None,
+    ) -> None:
+        for team in changed:
+            self._terms[team.name] = TeamTerms(
+                share=team.share,
+                allotment=self._usable(team.name, unread),
+            )
         self._scheduler.set_teams(
-            {
-                team.name: TeamTerms(
-                    share=team.share,
-                    allotment=self._usable(team.name, unread),
-                )
-                for team in record.cell.teams
-            },
+            {team.name: self._terms[team.name] for team in record.cell.teams},
         )
 
     def _usable(self, team: str, unread: Resources | None) -> Resources:
@@ -122,19 +173,25 @@
             return Resources()
         return (self.granted(team) - unread).at_least(Resources())
 
-    def _shed_excess(self, record: ConfigRecord) -> None:
+    def _shed_excess(
+        self,
+        record: ConfigRecord,
+        changed: Sequence[TeamConfig],
+    ) -> None:
         usage = self._scheduler.usage()
-        is_in_force = True
-        for team in record.cell.teams:
+        for team in changed:
             excess = self._allotments.excess(
                 team.name,
                 usage.get(team.name, Resources()),
             )
             if excess != Resources():
                 self._shed(team.name, excess)
-            is_in_force = is_in_force and self._allotments.is_in_force(
-                team.name,
-                record.revision,
-            )
-        if is_in_force:
+                self._settled.pop(team.name, None)
+        if self.revision < record.revision and self._is_in_force(record):
             self.revision = record.revision
+
+    def _is_in_force(self, record: ConfigRecord) -> bool:
+        return all(
+            self._allotments.is_in_force(team.name, record.revision)
+            for team in record.cell.teams
+        )
--- a/packages/currantreach-state/src/currantreach_state/_allotments.py
+++ b/packages/currantreach-state/src/currantreach_state/_allotments.py
@@ -99,6 +99,16 @@
         doubts = (doubt.granted for doubt in state.doubts)
         return smaller(state.settled, part, *doubts)
 
+    def version(self, team: str) -> tuple[int, bool]:
+        """Return what changes whenever the next step may be another one.
+
+        :returns: store revision of the record, and whether it is certain.
+        """
+        state = self._teams.get(team)
+        if state is None:
+            return 0, False
+        return state.revision, not (state.doubts or state.must_read)
+
     def excess(self, team: str, usage: Resources) -> Resources:
         """Return what must be checkpointed or stopped."""
         state = self._teams.get(team)
--- a/testbed/_cell.py
+++ b/testbed/_cell.py
@@ -39,6 +39,7 @@
     :ivar capacity: what each worker holds.
     :ivar refuses: whether workers refuse stale and late starts.
     :ivar settings: further settings of the daemons.
+    :ivar extra_team_count: teams besides those of the example.
     :ivar upper_limits: upper limits of teams in place of the example's.
     :ivar has_relays: whether each peer link passes a relay of its own.
     """
@@ -59,6 +60,7 @@
     )
     refuses: bool = True
     settings: Mapping[str, Any] = attrs.field(factory=dict)
+    extra_team_count: int = 0
     upper_limits: Mapping[str, Mapping[str, int]] = attrs.field(factory=dict)
     has_relays: bool = False
 
@@ -181,6 +183,10 @@
             team['upper_limit'].update(
                 self.plan.upper_limits.get(team['name'], {}),
             )
+        base['teams'] += [
+            {**base['teams'][-1], 'name': f'team-{number}'}
+            for number in range(self.plan.extra_team_count)
+        ]
         return {
             'base': base,
             'overlays': [
