Repeat a refused change in the proof of lost answers

Cause: test_lost_answer_to_apply waited 60 s for a change that a daemon had refused with store_unavailable, which is a truthful answer.

Change: the operator sends the change again with its id until it is in effect. What the repeat must be told is unchanged.

--- a/proofs/test_configuration.py
+++ b/proofs/test_configuration.py
@@ -134,6 +134,29 @@
     return time.monotonic() - began_s
 
 
+async def apply_unheard(
+    operator: Operator,
+    share: float,
+    revision: int,
+    change_id: str,
+) -> None:
+    """Apply a change, and give up once it is in effect elsewhere.
+
+    A refusal because of the store means that it had no effect, so it is sent
+    again.
+    """
+    sending: asyncio.Task[tuple[int, dict[str, Any]]] | None = None
+    async with asyncio.timeout(60):
+        while await operator.revision('south-0') <= revision:
+            if sending is None or sending.done():
+                sending = asyncio.create_task(
+                    operator.apply('north-0', share, revision, change_id),
+                )
+            await asyncio.sleep(_POLL_S)
+    if sending is not None:
+        sending.cancel()
+
+
 @pytest.mark.proof('P10')
 async def test_racing_operators_and_restart_without_store(
     open_cell: Callable[..., Any],
@@ -217,12 +240,7 @@
         )
         ledger.fault()
         change_id = f'lost-{number}'
-        # The caller gives up at once, so that the answer is lost to it too.
-        sending = asyncio.create_task(
-            first.apply('north-0', 30 + number, revision, change_id),
-        )
-        await wait_revision(first, 'south-0', revision + 1)
-        sending.cancel()
+        await apply_unheard(first, 30 + number, revision, change_id)
         ledger.fault()
         if has_successor:
             status, reply = await second.apply(
