Do not deny a change whose write lost its answer

Cause: after a lost answer the record is read again. If the store was down by then, the error of the read said that the call had no effect, and the operator was told store_unavailable with state not_run although the change was written.

Change: such a read failure is reported as a lost answer.

Result: test_config_record.py fails without the change and passes with it.

--- a/packages/currantreach-state/src/currantreach_state/_config_record.py
+++ b/packages/currantreach-state/src/currantreach_state/_config_record.py
@@ -9,7 +9,11 @@
 
 from currantreach_config import ConfigRecord
 from currantreach_types import decode_json, encode_json
-from currantreach_types.errors import ConflictError, LostAnswerError
+from currantreach_types.errors import (
+    ConflictError,
+    LostAnswerError,
+    StoreUnavailableError,
+)
 
 if TYPE_CHECKING:
     from currantreach_platform import Store
@@ -20,6 +24,7 @@
 _CURRENT: Final = 'config/current'
 _HISTORY: Final = 'config/history/'
 _POLL_TIMEOUT_S: Final = 2
+_UNSETTLED: Final = 'the change is not settled; apply it again'
 
 
 class ConfigKeeper:
@@ -138,9 +143,13 @@
         self.proof_at_s = max(self.proof_at_s, at_s)
 
     async def _settle(self, record: ConfigRecord) -> None:
-        current = await self._store.get(_CURRENT)
+        try:
+            current = await self._store.get(_CURRENT)
+        except StoreUnavailableError as exc:
+            # The read had no effect, but the write before it may have one.
+            raise LostAnswerError(_UNSETTLED) from exc
         if current is None:
-            raise LostAnswerError('the change is not settled; apply it again')
+            raise LostAnswerError(_UNSETTLED)
         self._key_revision = current.revision
         stored = decode_json(current.stored, ConfigRecord)
         self.offer(stored)
