Measure how long a change takes to be in force

Cause: the time until a change governs each failure domain was not measured. Change: the process bench grants a key and waits for all domains.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -77,6 +77,19 @@
     )
 
 
+async def _change_s(cell: Cell) -> float:
+    """Return how long a change takes until each domain confirms it."""
+    began_s = time.monotonic()
+    reply = await cell.operate(
+        'POST',
+        '/v1/admin/keys',
+        body={'team': _TEAM},
+    )
+    if 'token' not in reply:
+        raise RuntimeError(f'the key was not granted: {reply}')
+    return round(time.monotonic() - began_s, 3)
+
+
 async def _peer_bytes(cell: Cell) -> dict[str, float]:
     found: dict[str, float] = {}
     for name, url in cell.http_urls.items():
@@ -132,6 +145,7 @@
     with tempfile.TemporaryDirectory() as directory:
         async with Cell(plan, pathlib.Path(directory)) as cell:
             await asyncio.sleep(2)
+            change_s = await _change_s(cell)
             before = await _snapshot(cell)
             if case.rate < 0:
                 await asyncio.sleep(case.seconds)
@@ -143,7 +157,8 @@
                 name: known.resident_mib()
                 for name, known in cell.daemons.items()
             }
-    return _figures(case, before, after, outcomes, resident_mib)
+    figures = _figures(case, before, after, outcomes, resident_mib)
+    return {**figures, 'change_in_force_s': change_s}
 
 
 def _figures(
