Repair the merge of the configuration keeper

Change: the keeper that reads before it writes; the test of a lost write before an outage names the calls in the order of this keeper, as strictly as before.

--- a/packages/currantreach-state/src/currantreach_state/_config_record.py
+++ b/packages/currantreach-state/src/currantreach_state/_config_record.py
@@ -9,15 +9,10 @@
 from currantreach_config import ConfigRecord
 from currantreach_types import decode_json, encode_json
 from currantreach_types.errors import (
-<<<<<<< HEAD
     ConfigurationError,
     ConflictError,
     LostAnswerError,
     PlatformError,
-=======
-    ConflictError,
-    LostAnswerError,
->>>>>>> proofs
     StoreUnavailableError,
 )
 
@@ -29,7 +24,6 @@
 
 __all__ = ('ConfigKeeper', 'OutageReport')
 
-<<<<<<< HEAD
 # Watching this key instead of ``config/`` leaves the history unread.
 _CURRENT_KEY = 'config/current'
 _HISTORY_PREFIX = 'config/history/'
@@ -52,12 +46,6 @@
     revision: int
     has_store_contact: bool
     has_unsettled_write: bool = False
-=======
-_CURRENT: Final = 'config/current'
-_HISTORY: Final = 'config/history/'
-_POLL_TIMEOUT_S: Final = 2
-_UNSETTLED: Final = 'the change is not settled; apply it again'
->>>>>>> proofs
 
 
 class ConfigKeeper:
@@ -232,24 +220,8 @@
             has_unsettled_write=self._unsettled_revision > self.revision,
         )
 
-<<<<<<< HEAD
     def _prove(self, proof_at_s: float) -> None:
         self._proof_at_s = max(self._proof_at_s, proof_at_s)
-=======
-    async def _settle(self, record: ConfigRecord) -> None:
-        try:
-            current = await self._store.get(_CURRENT)
-        except StoreUnavailableError as exc:
-            # The read had no effect, but the write before it may have one.
-            raise LostAnswerError(_UNSETTLED) from exc
-        if current is None:
-            raise LostAnswerError(_UNSETTLED)
-        self._key_revision = current.revision
-        stored = decode_json(current.stored, ConfigRecord)
-        self.offer(stored)
-        if stored.change_id != record.change_id:
-            raise self._conflict()
->>>>>>> proofs
 
     async def _attempt(self, next_record: ConfigRecord) -> bool:
         """Write once, or find the write of an earlier attempt."""
--- a/packages/currantreach-state/tests/test_config_record.py
+++ b/packages/currantreach-state/tests/test_config_outage.py
@@ -18,7 +18,8 @@
         author='operator',
         cell=CellConfig(site='agency', teams=(), queues=()),
     )
-    store.faults.extend(('lost', 'down'))
+    # The record is read, its write loses its answer, then the store is down.
+    store.faults.extend(('', 'lost', 'down'))
     with pytest.raises(LostAnswerError):
         run(keeper.write(record, 0))
     assert store.peek('config/current') is not None
