Tell each peer the newest configuration once it is in force

Cause: a peer that was heard just before it learnt a change did not announce it, because the other side was known to have it already; the operator's change then waited for the next regular heartbeat, up to 19 s with 54 daemons. Change: a daemon remembers which revision it told each peer. The new test fails without the change.

--- a/packages/currantreach-daemon/src/currantreach_daemon/_app.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_app.py
@@ -118,7 +118,6 @@
                 self._membership,
                 self._peers,
                 self._keeper,
-                self._heartbeat,
                 overview,
             ).handlers(),
         )
--- a/packages/currantreach-daemon/src/currantreach_daemon/_peer_api.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_peer_api.py
@@ -15,7 +15,6 @@
     CancelMessage,
     ConfigMessage,
     ConsentMessage,
-    Heartbeat,
     IdMessage,
     IdReply,
     ListMessage,
@@ -61,14 +60,12 @@
         membership: Membership,
         peers: PeerTable,
         keeper: ConfigKeeper,
-        own_heartbeat: Callable[[], Heartbeat],
         overview: Overview,
     ) -> None:
         """Serve one daemon."""
         self._membership = membership
         self._peers = peers
         self._keeper = keeper
-        self._own_heartbeat = own_heartbeat
         self._overview = overview
 
     def handlers(self) -> Mapping[str, Handler]:
@@ -88,8 +85,7 @@
         }
 
     async def _heartbeat(self, message: HeartbeatWire) -> HeartbeatWire:
-        self._peers.note(unpack_heartbeat(message))
-        return pack_heartbeat(self._own_heartbeat())
+        return pack_heartbeat(self._peers.answer(unpack_heartbeat(message)))
 
     async def _issue_id(self, message: IdMessage) -> IdReply:
         owner = self._membership.owners.get(message.partition)
--- a/packages/currantreach-daemon/src/currantreach_daemon/_peers.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_peers.py
@@ -54,6 +54,7 @@
     :ivar heard_s: when the last heartbeat arrived.
     :ivar outage_s: when the question was sent whose answer said that the
         peer has no store contact, 0 if it has.
+    :ivar told_revision: configuration that this daemon last told the peer.
     :ivar changed: set when the peer should hear from this daemon at once.
     """
 
@@ -64,6 +65,7 @@
     heartbeat: Heartbeat | None = None
     heard_s: float = _NEVER_S
     outage_s: float = 0
+    told_revision: int = 0
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
 
@@ -106,14 +108,25 @@
             peer.changed.set()
 
     def announce_revision(self) -> None:
-        """Tell those peers that are not known to have the configuration."""
+        """Tell the revision to all peers that were not told in a reply.
+
+        An operator's change waits until each failure domain has told it.
+        """
         for peer in self.peers.values():
-            beat = peer.heartbeat
-            if beat is None or beat.config_revision < self._keeper.revision:
+            if peer.told_revision < self._keeper.revision:
                 peer.changed.set()
 
+    def answer(self, heartbeat: Heartbeat) -> Heartbeat:
+        """Note a heartbeat that a peer sent and return the own one."""
+        self.note(heartbeat)
+        own = self._own_heartbeat()
+        peer = self.peers.get(heartbeat.daemon_id)
+        if peer is not None:
+            peer.told_revision = own.config_revision
+        return own
+
     def note(self, heartbeat: Heartbeat) -> None:
-        """Note a heartbeat that a peer sent by itself."""
+        """Note a heartbeat of a peer."""
         peer = self.peers.get(heartbeat.daemon_id)
         if peer is not None:
             peer.heartbeat = heartbeat
@@ -198,14 +211,16 @@
 
     async def _exchange(self, peer: Peer) -> None:
         sent_s = self._clock.now_s()
+        own = self._own_heartbeat()
         wire = await peer.link.call(
             'heartbeat',
-            pack_heartbeat(self._own_heartbeat()),
+            pack_heartbeat(own),
             HEARTBEAT_WIRE,
             self._settings.peer_timeout_s,
         )
         reply = unpack_heartbeat(wire)
         self.note(reply)
+        peer.told_revision = own.config_revision
         peer.outage_s = 0 if reply.has_store else sent_s
         if reply.config_revision > self._keeper.revision:
             await self._fetch_config(peer)
--- a/packages/currantreach-daemon/tests/test_routing.py
+++ b/packages/currantreach-daemon/tests/test_routing.py
@@ -318,3 +318,15 @@
     async def workers(self):
         self.count += 1
         return tuple(self.listed)
+
+
+async def test_told_revision(net):
+    """A peer that heard the earlier revision waits for the next one (P10)."""
+    beat = attrs.evolve(BEAT, daemon_id='p0', config_revision=2)
+    net.own[0] = attrs.evolve(net.own[0], config_revision=1)
+    assert net.table.answer(beat).config_revision == 1
+
+    net.keeper.offer(record_of(2))
+    net.table.announce_revision()
+
+    assert net.table.peers['p0'].changed.is_set()
