--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,9 @@
+SEED ?= 1
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := types decisions config platform links state daemon cli standins
-SOURCES := packages bench demo proofs testbed tests
+SOURCES := conftest.py packages bench demo proofs testbed tests
 
 .PHONY: setup test check demo proofs bench soak format
 
@@ -38,4 +39,4 @@
 	$(BIN)/python -m bench
 
 soak: setup
-	$(BIN)/python -m pytest --hypothesis-seed=$(SEED) --hypothesis-profile=soak packages
+	$(BIN)/python -m pytest --soak --hypothesis-seed=$(SEED) --timeout=1800 packages
--- a/packages/currantreach-daemon/tests/conftest.py
+++ b/packages/currantreach-daemon/tests/conftest.py
@@ -8,7 +8,6 @@
 import selectors
 
 import attrs
-import hypothesis
 import logbook
 import pytest
 
@@ -40,9 +39,6 @@
     WorkerUnavailableError,
 )
 
-hypothesis.settings.register_profile('fixed', derandomize=True, deadline=None)
-hypothesis.settings.load_profile('fixed')
-
 LEASE_S = 30
 SLOTS = 4
 _METRICS = Metrics()
--- a/packages/currantreach-daemon/tests/test_owner_machine.py
+++ b/packages/currantreach-daemon/tests/test_owner_machine.py
@@ -5,7 +5,7 @@
 import asyncio
 
 import pytest
-from hypothesis import settings, stateful
+from hypothesis import stateful
 from hypothesis import strategies as st
 
 from currantreach_types import Resources
@@ -189,7 +189,7 @@
 
 
 @pytest.mark.timeout(300)
-def test_owner_machine(new_loop, new_cell):
+def test_owner_machine(new_loop, new_cell, machine_settings):
     """Faults in a bad order break a promise to callers (P1, P2, P6, P7)."""
     machine = type(
         'Machine',
@@ -198,7 +198,5 @@
     )
     stateful.run_state_machine_as_test(
         machine,
-        settings=settings(
-            max_examples=60, stateful_step_count=25, deadline=None
-        ),
+        settings=machine_settings(60, 25),
     )
--- a/packages/currantreach-decisions/tests/test_accounts.py
+++ b/packages/currantreach-decisions/tests/test_accounts.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import pytest
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -220,13 +219,6 @@
 
 
 @pytest.mark.parametrize('machine', [Accounts, IndexedAccounts])
-def test_accounts(machine):
+def test_accounts(machine, machine_settings):
     """Guard against room that leaks, is counted twice or is overbooked."""
-    profile = settings(
-        derandomize=True,
-        deadline=None,
-        max_examples=100,
-        stateful_step_count=40,
-        database=None,
-    )
-    run_state_machine_as_test(machine, settings=profile)
+    run_state_machine_as_test(machine, settings=machine_settings(100, 40))
--- a/packages/currantreach-standins/tests/test_store_state.py
+++ b/packages/currantreach-standins/tests/test_store_state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from hypothesis import given, settings, strategies
+from hypothesis import given, strategies
 
 from currantreach_standins import _store_state
 from currantreach_types import ManualClock
@@ -15,7 +15,6 @@
 )
 
 
-@settings(derandomize=True, deadline=None)
 @given(steps=_STEPS)
 def test_changes_match_the_history_after_the_log_is_reduced(steps):
     """Guard against watches that miss or repeat changes of old revisions."""
--- a/packages/currantreach-state/tests/records/conftest.py
+++ b/packages/currantreach-state/tests/records/conftest.py
@@ -8,7 +8,6 @@
 import selectors
 
 import pytest
-from hypothesis import settings
 
 from currantreach_platform import KeyValue, Store, WatchResult
 from currantreach_types import ManualClock
@@ -18,9 +17,6 @@
     StoreUnavailableError,
 )
 
-settings.register_profile('fixed', derandomize=True, deadline=None)
-settings.load_profile('fixed')
-
 
 class VirtualLoop(asyncio.SelectorEventLoop):
     """Event loop whose waits advance a manual clock."""
--- a/packages/currantreach-state/tests/records/test_allotments.py
+++ b/packages/currantreach-state/tests/records/test_allotments.py
@@ -7,7 +7,6 @@
 
 import attrs
 import pytest
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -159,11 +158,11 @@
         self.loop.close()
 
 
-def test_all_owners_together_respect_the_limit(make_cell):
+def test_all_owners_together_respect_the_limit(make_cell, machine_settings):
     """Guard against a team that has more running than its upper limit."""
     run_state_machine_as_test(
         lambda: AllotmentMachine(make_cell),
-        settings=settings(max_examples=500, stateful_step_count=25),
+        settings=machine_settings(500, 25),
     )
 
 
--- a/packages/currantreach-state/tests/records/test_config_record.py
+++ b/packages/currantreach-state/tests/records/test_config_record.py
@@ -6,7 +6,6 @@
 import contextlib
 
 import pytest
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -116,11 +115,11 @@
         self.loop.close()
 
 
-def test_revisions_only_rise(make_cell):
+def test_revisions_only_rise(make_cell, machine_settings):
     """Guard against a configuration that reverts or loses a change."""
     run_state_machine_as_test(
         lambda: ConfigMachine(make_cell),
-        settings=settings(max_examples=300, stateful_step_count=25),
+        settings=machine_settings(300, 25),
     )
 
 
--- a/packages/currantreach-state/tests/records/test_journal.py
+++ b/packages/currantreach-state/tests/records/test_journal.py
@@ -7,7 +7,6 @@
 
 import attrs
 import pytest
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -154,12 +153,14 @@
         self.loop.close()
 
 
-def test_recovery_matches_what_callers_were_told(make_cell, monkeypatch):
+def test_recovery_matches_what_callers_were_told(
+    make_cell, monkeypatch, machine_settings
+):
     """Guard against lost acknowledged or resurrected withdrawn records."""
     monkeypatch.setattr('currantreach_state._journal.HEAD_LIMIT_BYTES', 400)
     run_state_machine_as_test(
         lambda: JournalMachine(make_cell),
-        settings=settings(max_examples=300, stateful_step_count=30),
+        settings=machine_settings(300, 30),
     )
 
 
--- a/packages/currantreach-state/tests/test_promises.py
+++ b/packages/currantreach-state/tests/test_promises.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -297,16 +297,13 @@
             asker.run.record(number, peer_id, 3, view)
 
 
-def test_one_owner_at_a_time(new_store, pausing):
+def test_one_owner_at_a_time(new_store, pausing, machine_settings):
     """Guard against two daemons starting tasks of one partition."""
     run_state_machine_as_test(
         lambda: Ownership(new_store, pausing),
-        settings=settings(
-            max_examples=600,
-            stateful_step_count=30,
-            deadline=None,
-            derandomize=True,
-            database=None,
+        settings=machine_settings(
+            600,
+            30,
             suppress_health_check=list(HealthCheck),
         ),
     )
