Measure a storm of requests; answer unknown above the connection limit

Cause: overload was not measured, and a repeated submission above the connection limit was told not_run although the first may have run. Change: the process bench takes the run time and the number of loops; calls above the connection limit, and errors whose effect is not known, are answered unknown.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -52,6 +52,8 @@
     seconds: float
     load_count: int = 2
     extra_team_count: int = 0
+    loop_count: int = 32
+    run_s: float = 0.01
 
 
 @attrs.define(slots=True, kw_only=True)
@@ -119,6 +121,10 @@
             _QUEUE,
             '--seconds',
             str(case.seconds),
+            '--loops',
+            str(case.loop_count),
+            '--run-s',
+            str(case.run_s),
             '--rate',
             str(case.rate / case.load_count),
             stdout=asyncio.subprocess.PIPE,
@@ -220,6 +226,9 @@
         default=[-1, 100, 0],
         help='requests a second; 0: as many as possible; -1: none',
     )
+    parser.add_argument('--loads', type=int, default=2)
+    parser.add_argument('--loops', type=int, default=32)
+    parser.add_argument('--run-s', type=float, default=0.01)
     parser.add_argument('--teams', type=int, default=0)
     parser.add_argument('--seconds', type=float, default=5)
     chosen = parser.parse_args()
@@ -234,6 +243,9 @@
                         rate=rate,
                         seconds=chosen.seconds,
                         extra_team_count=chosen.teams,
+                        load_count=chosen.loads,
+                        loop_count=chosen.loops,
+                        run_s=chosen.run_s,
                     )
                     figures = asyncio.run(run_case(case))
                     sys.stdout.write(f'{json.dumps(figures)}\n')
--- a/packages/currantreach-daemon/src/currantreach_daemon/_http_errors.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_http_errors.py
@@ -19,6 +19,7 @@
     CurrantreachError,
     LostAnswerError,
     MalformedMessageError,
+    StoreUnavailableError,
 )
 
 if TYPE_CHECKING:
@@ -58,7 +59,9 @@
                 request,
                 refusals.CONNECTION_LIMIT,
                 HTTPStatus.SERVICE_UNAVAILABLE,
-                is_question=request.method == 'GET',
+                # The body was not read, and an earlier submission of the
+                # same request may have run.
+                may_have_run=True,
             )
         try:
             return await handler(request)
@@ -93,6 +96,7 @@
             refusals.STORE_UNAVAILABLE,
             HTTPStatus.SERVICE_UNAVAILABLE,
             str(error),
+            may_have_run=not isinstance(error, StoreUnavailableError),
         )
 
     def _refused(
@@ -102,7 +106,7 @@
         status: HTTPStatus,
         text: str = '',
         *,
-        is_question: bool = False,
+        may_have_run: bool = False,
     ) -> web.Response:
         self._metrics.refused(refusal.reason)
         is_submission = (request.method, request.path) == _SUBMISSION
@@ -113,8 +117,7 @@
             reason=refusal.reason,
         )
         answer = not_run_answer('', refusal)
-        if is_question:
-            # The work that it asks for may have run.
+        if may_have_run:
             answer = attrs.evolve(answer, state=RequestState.unknown)
         if text:
             answer = attrs.evolve(answer, remedy=f'{answer.remedy}: {text}')
