Refuse a part of the submissions unread while the event loop is late

Change: submissions are refused before their bodies are read, in proportion to the lateness of the event loop (overloaded, answered unknown and retryable).

--- a/packages/currantreach-daemon/src/currantreach_daemon/_app.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_app.py
@@ -21,6 +21,7 @@
 from currantreach_daemon._peer_api import PeerApi
 from currantreach_daemon._peers import Peer, PeerTable
 from currantreach_daemon._router import Router
+from currantreach_daemon._shedding import Shedder
 from currantreach_links import PeerLink, PeerServer
 from currantreach_platform import HttpHostList, HttpStore, HttpWorkerClient
 from currantreach_state import ConfigKeeper
@@ -64,6 +65,7 @@
         self._membership = Membership(settings, self._clock, self._store)
         self._peers = self._make_peers()
         self._gate = Gate(self._keeper, self._clock)
+        self._shedder = Shedder(self._clock)
         self._connect()
 
     async def run(self) -> None:
@@ -132,6 +134,7 @@
             ),
             overview,
             self._metrics,
+            self._shedder,
         )
         register_gauges(
             self._metrics,
@@ -146,6 +149,7 @@
             self._membership.keep(),
             self._membership.claim_partitions(),
             self._fleet.follow(),
+            self._shedder.measure(),
             self._follow_config(),
             *(self._peers.follow(peer) for peer in self._peers.peers.values()),
         ]
--- a/packages/currantreach-daemon/src/currantreach_daemon/_http.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_http.py
@@ -19,6 +19,7 @@
     from currantreach_daemon._metrics import Metrics
     from currantreach_daemon._overview import Overview
     from currantreach_daemon._router import Router
+    from currantreach_daemon._shedding import Shedder
     from currantreach_state import ConfigKeeper
 
 __all__ = ('HttpServer',)
@@ -37,13 +38,14 @@
         router: Router,
         overview: Overview,
         metrics: Metrics,
+        shedder: Shedder,
     ) -> None:
         """Create the application; :meth:`start` opens the port."""
         self._gate = gate
         self._keeper = keeper
         self._metrics = metrics
         self._app = web.Application(
-            middlewares=[ErrorMiddleware(gate, metrics).run],
+            middlewares=[ErrorMiddleware(gate, metrics, shedder).run],
             client_max_size=_BODY_LIMIT_BYTES,
         )
         self._app.add_routes(
--- a/packages/currantreach-daemon/src/currantreach_daemon/_http_errors.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_http_errors.py
@@ -27,6 +27,7 @@
 
     from currantreach_daemon._gate import Gate
     from currantreach_daemon._metrics import Metrics
+    from currantreach_daemon._shedding import Shedder
     from currantreach_types import Refusal
 
     _Call = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -42,10 +43,16 @@
 class ErrorMiddleware:
     """Answers each failed call with a reason and a remedy."""
 
-    def __init__(self, gate: Gate, metrics: Metrics) -> None:
-        """Refuse connections above the limit of the gate."""
+    def __init__(
+        self,
+        gate: Gate,
+        metrics: Metrics,
+        shedder: Shedder,
+    ) -> None:
+        """Refuse connections above the limit and load above the core."""
         self._gate = gate
         self._metrics = metrics
+        self._shedder = shedder
 
     @web.middleware
     async def run(
@@ -63,6 +70,13 @@
                 # same request may have run.
                 may_have_run=True,
             )
+        if _is_submission(request) and self._shedder.is_refused():
+            return self._refused(
+                request,
+                refusals.OVERLOADED,
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                may_have_run=True,
+            )
         try:
             return await handler(request)
         except web.HTTPRequestEntityTooLarge:
@@ -109,9 +123,8 @@
         may_have_run: bool = False,
     ) -> web.Response:
         self._metrics.refused(refusal.reason)
-        is_submission = (request.method, request.path) == _SUBMISSION
         log_event(
-            'request_end' if is_submission else 'call_refused',
+            'request_end' if _is_submission(request) else 'call_refused',
             request='-',
             state=RequestState.not_run,
             reason=refusal.reason,
@@ -127,6 +140,10 @@
         return response
 
 
+def _is_submission(request: web.Request) -> bool:
+    return (request.method, request.path) == _SUBMISSION
+
+
 def _unknown_outcome(text: str) -> web.Response:
     return json_response(
         Answer(
--- a/packages/currantreach-types/src/currantreach_types/_refusals.py
+++ b/packages/currantreach-types/src/currantreach_types/_refusals.py
@@ -83,6 +83,12 @@
     can_retry=True,
     retry_after_s=2,
 )
+OVERLOADED = Refusal(
+    'overloaded',
+    'retry later with back-off, or at another entry host',
+    can_retry=True,
+    retry_after_s=1,
+)
 OWNER_UNREACHABLE = Refusal(
     'owner_unreachable',
     'retry; the request was not sent to the owner',
@@ -152,6 +158,7 @@
     LIMIT_NEVER_FITS,
     NEVER_FITS,
     NO_OWNER,
+    OVERLOADED,
     OWNER_UNREACHABLE,
     QUEUE_FULL,
     QUEUE_NOT_OPEN,
--- a/testbed/_caller.py
+++ b/testbed/_caller.py
@@ -116,8 +116,10 @@
                 },
             )
             self._note(sent, answer)
-            if sent.state == 'unknown' and not answer.get('can_retry'):
-                return
+            if sent.state == 'unknown':
+                if not answer.get('can_retry'):
+                    return
+                await asyncio.sleep(_BACK_OFF_S)
 
     async def _await_answer(self, sent: Sent) -> None:
         path = f'/v1/requests/{sent.request_id}/answer?timeout_ms=4000'
