Tell a refused key from an unknown outcome in the exit code

Cause: currantreach list with a wrong key exited with 4, as if work might have run. Change: 401 and 403 without a request id exit with 1. Result: the new test fails without the change; 32 tests of the package pass.

--- a/packages/currantreach-cli/src/currantreach_cli/_output.py
+++ b/packages/currantreach-cli/src/currantreach_cli/_output.py
@@ -17,6 +17,7 @@
 _INDENT: Final = '  '
 _EMPTY: Final[tuple[object, ...]] = (None, [], {})
 _CONFLICT: Final = 'conflict'
+_KEY_STATUSES: Final = frozenset((401, 403))
 _REFUSED_STATES: Final = frozenset(('not_run', 'failed'))
 
 
@@ -39,6 +40,9 @@
     if fields.get('faults'):
         return ExitCode.usage
     state = fields.get('state')
+    is_about_request = bool(fields.get('request_id'))
+    if reply.status in _KEY_STATUSES and not is_about_request:
+        return ExitCode.refused
     if state == 'unknown':
         return ExitCode.unknown
     if reply.is_error or state in _REFUSED_STATES:
