Read through: one stop for two proofs, plainer names

Cause: the graceful stop stood twice in the proofs, and Passage did not say that it is the result of admission.

--- a/packages/currantreach-daemon/src/currantreach_daemon/_caller_bodies.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_caller_bodies.py
@@ -10,7 +10,7 @@
 from currantreach_types.errors import MalformedMessageError
 
 if TYPE_CHECKING:
-    from currantreach_daemon._gate import Passage
+    from currantreach_daemon._gate import Admission
 
 __all__ = (
     'AnswersBody',
@@ -117,7 +117,7 @@
 def task_spec(
     body: SubmitBody,
     request_id: str,
-    admitted: Passage,
+    admitted: Admission,
 ) -> TaskSpec:
     """Return the request that a submission asks for."""
     policy = admitted.queue.policy
--- a/packages/currantreach-daemon/src/currantreach_daemon/_callers.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_callers.py
@@ -17,7 +17,7 @@
     check_amounts,
     task_spec,
 )
-from currantreach_daemon._gate import Passage
+from currantreach_daemon._gate import Admission
 from currantreach_daemon._log import log_event
 from currantreach_daemon._replies import (
     answer_response,
@@ -113,7 +113,7 @@
             body.team,
             body.queue,
         )
-        if not isinstance(admitted, Passage):
+        if not isinstance(admitted, Admission):
             return self._not_admitted(body, admitted)
         needed = body.resources.times(body.gang_size)
         if not needed.fits_in(admitted.team.upper_limit):
@@ -170,7 +170,7 @@
     async def _submit_admitted(
         self,
         body: SubmitBody,
-        admitted: Passage,
+        admitted: Admission,
     ) -> Answer:
         request_id = body.request_id
         if not request_id:
--- a/packages/currantreach-daemon/src/currantreach_daemon/_gate.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_gate.py
@@ -27,14 +27,14 @@
     from currantreach_state import ConfigKeeper
     from currantreach_types import Clock
 
-__all__ = ('Gate', 'Passage')
+__all__ = ('Admission', 'Gate')
 
 _BEARER = 'Bearer '
 
 
 @attrs.frozen(slots=True, kw_only=True)
-class Passage:
-    """What a caller may do with a request that was let in."""
+class Admission:
+    """Team and queue of a submission that was admitted."""
 
     team: TeamConfig
     queue: QueueConfig
@@ -88,8 +88,8 @@
         authorization: str,
         team: str,
         queue: str,
-    ) -> Passage | Refusal:
-        """Let a submission in, or say why not."""
+    ) -> Admission | Refusal:
+        """Admit a submission, or say why not."""
         cell = self.cell()
         if self.is_stopping:
             return refusals.STOPPING
@@ -146,14 +146,14 @@
         cell: CellConfig,
         name: str,
         queue: QueueConfig,
-    ) -> Passage | Refusal:
+    ) -> Admission | Refusal:
         teams = {team.name: team for team in cell.teams}
         if name not in teams:
             return refusals.TEAM_UNKNOWN
         team = teams[name]
         if self._in_progress[name] >= team.request_limit:
             return refusals.TEAM_RATE
-        return Passage(team=team, queue=queue)
+        return Admission(team=team, queue=queue)
 
     def _key_ring(self) -> KeyRing | None:
         record = self._keeper.record
--- a/proofs/test_stops.py
+++ b/proofs/test_stops.py
@@ -64,6 +64,23 @@
     return str(answer['request_id'])
 
 
+async def stop(cell: Cell, daemon_id: str, ledger: Ledger) -> None:
+    """Stop a daemon gracefully; it must end in time with code 0."""
+    began_s = time.monotonic()
+    cell.daemons[daemon_id].send(signal.SIGTERM)
+    ledger.fault()
+    try:
+        code = await cell.daemons[daemon_id].wait(60)
+    except TimeoutError:
+        code = -1
+    took_s = time.monotonic() - began_s
+    ledger.expect(
+        'P9',
+        is_met=code == 0 and took_s <= STOP_S,
+        seen=f'{daemon_id} ended with {code} after {took_s:.1f} s',
+    )
+
+
 @pytest.mark.proof('P9')
 @pytest.mark.proof('P5')
 async def test_owners_stop_during_requests(
@@ -104,19 +121,7 @@
         for daemon_id in (owner, other)
     }
     await asyncio.sleep(0.4)
-    began_s = time.monotonic()
-    cell.daemons[owner].send(signal.SIGTERM)
-    ledger.fault()
-    try:
-        code = await cell.daemons[owner].wait(60)
-    except TimeoutError:
-        code = -1
-    took_s = time.monotonic() - began_s
-    ledger.expect(
-        'P9',
-        is_met=code == 0 and took_s <= STOP_S,
-        seen=f'{owner} ended with {code} after {took_s:.1f} s',
-    )
+    await stop(cell, owner, ledger)
     for (daemon_id, request_id), running in asking.items():
         told = await running
         ledger.expect(
@@ -151,19 +156,7 @@
     await cell.inject('store', {'hang': True})
     ledger.fault()
     owner = await cell.owner_of(DOMAINS[0])
-    began_s = time.monotonic()
-    cell.daemons[owner].send(signal.SIGTERM)
-    ledger.fault()
-    try:
-        code = await cell.daemons[owner].wait(60)
-    except TimeoutError:
-        code = -1
-    took_s = time.monotonic() - began_s
-    ledger.expect(
-        'P9',
-        is_met=code == 0 and took_s <= STOP_S,
-        seen=f'{owner} ended with {code} after {took_s:.1f} s',
-    )
+    await stop(cell, owner, ledger)
     await cell.inject('store', {})
     ledger.add(await load.finish())
     assert final_states(load.sent) == {'finished/': 30}
