Set the terms of all teams again after a step that failed

Cause: when the step of one team failed, the teams settled before it in the same round were passed over from then on, though their terms had not been set; the next round raised KeyError and ended the owner. Change: a round that does not end settles no team.

--- a/packages/currantreach-daemon/src/currantreach_daemon/_quotas.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_quotas.py
@@ -110,6 +110,10 @@
                 await self._step(team, inputs[team.name])
             except (StoreUnavailableError, LostAnswerError) as exc:
                 log_problem('allotment_failed', team=team.name, error=exc)
+                # The terms of this round were not set, so that none of its
+                # teams is done.
+                for unfinished in changed:
+                    self._settled.pop(unfinished.name, None)
                 return
         if changed or not self._has_limits.is_set():
             self._set_terms(record, changed, unread)
--- a/packages/currantreach-daemon/tests/test_quotas.py
+++ b/packages/currantreach-daemon/tests/test_quotas.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from unittest import mock
 
 import pytest
 
@@ -131,3 +132,38 @@
     first.quotas._allotments._store.faults['all'] = 'down'
     await first.refresh()
     assert first.usable() == usable
+
+
+async def test_step_that_fails_between_others():
+    """A team keeps no terms when the step of another fails (P4)."""
+    allotments = mock.Mock()
+    allotments.version.return_value = (1, True)
+    allotments.granted.return_value = Resources(3)
+    allotments.excess.return_value = Resources()
+    allotments.refresh = mock.AsyncMock(
+        side_effect=[None, StoreUnavailableError('injected'), None, None],
+    )
+    scheduler = IndexedScheduler()
+    teams = tuple(
+        TeamConfig(name=name, share=1, upper_limit=Resources(3))
+        for name in ('tine', 'flow')
+    )
+    record = ConfigRecord(
+        revision=1,
+        change_id='x',
+        author='x',
+        cell=CellConfig(site='one', teams=teams, queues=()),
+    )
+    quotas = Quotas(
+        allotments,
+        scheduler,
+        lambda: record,
+        mock.Mock(),
+        asyncio.Event(),
+        Resources,
+    )
+    await quotas._refresh(record)
+    await quotas._refresh(record)
+    for team in teams:
+        terms = scheduler._ledger.team(team.name)
+        assert terms.allotment == Resources(3)
