Count the room of runs that a successor does not want

A room now takes no task while it lists such runs.

Change: also reserves room for gangs that wait, and lets the jobs beyond a team's share wait behind those of others.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_board.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_board.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from currantreach_jobs._model import EndKind, JobState
+from currantreach_jobs._pace import TeamPace
 from currantreach_jobs._progress import JobProgress, Run, RunPhase, Stage
 from currantreach_jobs._rooms import TeamUse, WorkerRoom
 from currantreach_telemetry import log_event
@@ -54,6 +55,7 @@
         self.open_jobs: dict[str, JobProgress] = {}
         self.rooms: dict[str, WorkerRoom] = {}
         self.teams = TeamUse()
+        self.pace = TeamPace()
         self.to_stop: list[Run] = []
         self._clock = clock
         self._mark_changed = mark_changed
@@ -79,8 +81,12 @@
         record: ProgressRecord | None = None,
         first_attempt: int = 0,
         is_inherited: bool = False,
+        weight: int = 0,
     ) -> None:
-        """Add an accepted job."""
+        """Add an accepted job.
+
+        :param weight: jobs a second that its team has a claim to.
+        """
         if job.job_id in self.jobs:
             return
         age_s = max(0, self.unix_ms() - job.accepted_unix_ms) / _MS_PER_S
@@ -90,6 +96,11 @@
             is_inherited=is_inherited,
             accepted_at_s=self._clock.now_s() - age_s,
         )
+        progress.is_excess = self.pace.note(
+            job.team,
+            weight,
+            progress.accepted_at_s,
+        )
         is_over = record is not None and record.state.is_final
         if not is_over:
             progress.build()
--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -4,7 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from currantreach_jobs._placement import assign, eligible_rooms, fitting_count
+from currantreach_jobs._placement import (
+    assign,
+    eligible_rooms,
+    fitting_count,
+    whole_count,
+)
 from currantreach_telemetry import log_event
 
 if TYPE_CHECKING:
@@ -22,6 +27,10 @@
 # A job that is later than this multiple of its objective is worth nothing to
 # its caller any more; it runs when nothing else wants the room.
 _WORTHLESS_FACTOR = 3
+# At most this share of the workers is kept for gangs that wait.
+_RESERVABLE_SHARE = 0.5
+# A reservation is renewed by each round; the rounds are closer than this.
+_RESERVATION_S = 0.3
 # The service names at most this many workers at a time.
 _MOST_NAMED = 100
 
@@ -42,6 +51,7 @@
         :param launch: orders a run, with its ticket.
         """
         self.is_settled = False
+        self._reservable_count = 0
         self._board = board
         self._advisor = advisor
         self._clock = clock
@@ -51,6 +61,9 @@
     def decide(self) -> None:
         """Start all that can be started now."""
         now_s = self._clock.now_s()
+        self._reservable_count = round(
+            _RESERVABLE_SHARE * len(self._board.rooms),
+        )
         stages = sorted(
             self._board.ready_stages(),
             key=lambda stage: _urgency(stage, now_s),
@@ -73,14 +86,47 @@
             return
         rooms = eligible_rooms(stage, self._board.rooms.values(), now_s)
         advice = stage.owner.job.queue.advice
-        if advice is None:
-            self._start(stage, assign(stage, rooms, most))
-            return
-        permitted = [room for room in rooms if _has_ticket(stage, room, now_s)]
+        permitted = rooms
+        if advice is not None:
+            permitted = [
+                room for room in rooms if _has_ticket(stage, room, now_s)
+            ]
         assigned = assign(stage, permitted, most)
         self._start(stage, assigned)
-        if stage.waiting and not assigned and now_s >= stage.asked_until_s:
-            self._ask(stage, advice, rooms, now_s)
+        if not stage.waiting or assigned:
+            return
+        if advice is not None and now_s >= stage.asked_until_s:
+            self._ask(stage, advice, rooms)
+        if stage.step.is_gang:
+            self._reserve(stage, rooms, now_s)
+
+    def _reserve(
+        self,
+        stage: Stage,
+        rooms: Sequence[WorkerRoom],
+        now_s: float,
+    ) -> None:
+        """Keep what becomes free on some workers for a gang that waits.
+
+        Otherwise smaller tasks take each piece of room as it becomes free,
+        and a wide gang never starts on a full fleet.
+        """
+        if _is_worthless(stage, now_s):
+            return
+        wanted = stage.step.task_count
+        kept: list[WorkerRoom] = []
+        for room in sorted(rooms, key=_free_cpu, reverse=True):
+            if wanted <= 0 or len(kept) >= self._reservable_count:
+                break
+            if _is_permitted(stage, room):
+                kept.append(room)
+                wanted -= whole_count(stage, room)
+        if wanted > 0:
+            return
+        self._reservable_count -= len(kept)
+        for reserved in kept:
+            reserved.reserved_by = stage
+            reserved.reserved_until_s = now_s + _RESERVATION_S
 
     def _team_room(self, stage: Stage) -> int:
         config = self._read_config()
@@ -120,7 +166,6 @@
         stage: Stage,
         advice: Advice,
         rooms: Sequence[WorkerRoom],
-        now_s: float,
     ) -> None:
         """Ask for the workers that are not known to be forbidden.
 
@@ -141,7 +186,7 @@
             if stage.allowed.get(room.report.worker_id)
         ]
         named = _enough(stage, known)
-        is_asked = self._advisor.ask(
+        self._advisor.ask(
             stage,
             advice,
             [
@@ -149,10 +194,6 @@
                 for room in (named or open_rooms)[:_MOST_NAMED]
             ],
         )
-        if is_asked and stage.step.is_gang:
-            for room in named:
-                room.reserved_by = stage
-                room.reserved_until_s = now_s + advice.fixed_s + advice.ticket_s
 
 
 def _enough(stage: Stage, known: Sequence[WorkerRoom]) -> list[WorkerRoom]:
@@ -181,11 +222,30 @@
     return now_s < valid_until_s
 
 
-def _urgency(stage: Stage, now_s: float) -> tuple[bool, int, float]:
+def _urgency(stage: Stage, now_s: float) -> tuple[bool, bool, int, float]:
     """Return a sort key: what its callers lose first comes first."""
     progress = stage.owner
-    age_s = now_s - progress.accepted_at_s
-    is_worthless = age_s > _WORTHLESS_FACTOR * progress.objective_s
     priority = progress.job.queue.priority
     due_s = progress.accepted_at_s + progress.objective_s
-    return is_worthless, int(priority > 0), due_s
+    return (
+        _is_worthless(stage, now_s),
+        progress.is_excess,
+        int(priority > 0),
+        due_s,
+    )
+
+
+def _is_worthless(stage: Stage, now_s: float) -> bool:
+    progress = stage.owner
+    age_s = now_s - progress.accepted_at_s
+    return age_s > _WORTHLESS_FACTOR * progress.objective_s
+
+
+def _is_permitted(stage: Stage, room: WorkerRoom) -> bool:
+    if stage.owner.job.queue.advice is None:
+        return True
+    return stage.allowed.get(room.report.worker_id, False)
+
+
+def _free_cpu(room: WorkerRoom) -> int:
+    return room.free.cpu_milli
--- a/packages/currantreach-jobs/src/currantreach_jobs/_master.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_master.py
@@ -209,7 +209,12 @@
         self._fleet_written = frozenset(self._inherited_workers)
 
     def _note_job(self, job: Job) -> None:
-        self.board.add_job(job)
+        self.board.add_job(job, weight=self._weight_of(job))
+
+    def _weight_of(self, job: Job) -> int:
+        config = self._outside.source.config
+        team = config.teams.get(job.team) if config else None
+        return team.weight if team else 0
 
     async def _follow_workers(self) -> None:
         while True:
--- /dev/null
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_pace.py
@@ -0,0 +1,38 @@
+"""Which jobs of a team are beyond its share while the fleet is full."""
+
+from __future__ import annotations
+
+__all__ = ('TeamPace',)
+
+# A team may send the jobs of this time at once before they count as excess.
+_BURST_S = 1
+
+
+class TeamPace:
+    """Compares the jobs that each team sends with its weight.
+
+    The weight of a team is the number of jobs a second that it has a claim
+    to. What it sends beyond that waits behind the jobs of the others.
+    """
+
+    def __init__(self) -> None:
+        """Start with no team ahead of its share."""
+        self._due_at_s: dict[str, float] = {}
+
+    def note(self, team: str, weight: int, at_s: float) -> bool:
+        """Note a job of a team; return whether it is beyond the share.
+
+        :param weight: jobs a second that the team has a claim to; a team
+            without a weight is never beyond its share.
+        """
+        if not weight:
+            return False
+        due_at_s = max(self._due_at_s.get(team, at_s), at_s)
+        if due_at_s - at_s > _BURST_S:
+            return True
+        self._due_at_s[team] = due_at_s + 1 / weight
+        return False
+
+    def is_ahead(self, team: str, at_s: float) -> bool:
+        """Tell whether the next job of a team would be beyond its share."""
+        return self._due_at_s.get(team, at_s) - at_s > _BURST_S
--- a/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
@@ -4,13 +4,15 @@
 
 from typing import TYPE_CHECKING
 
+from currantreach_jobs._rooms import whole_room_count
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
     from currantreach_jobs._progress import Stage
     from currantreach_jobs._rooms import WorkerRoom
 
-__all__ = ('assign', 'eligible_rooms', 'fitting_count')
+__all__ = ('assign', 'eligible_rooms', 'fitting_count', 'whole_count')
 
 
 def eligible_rooms(
@@ -43,6 +45,11 @@
     return max(0, min(count, most - there))
 
 
+def whole_count(stage: Stage, room: WorkerRoom) -> int:
+    """Return how many tasks of a stage an empty worker holds."""
+    return whole_room_count(stage.step, room.report.room)
+
+
 def assign(
     stage: Stage,
     rooms: Sequence[WorkerRoom],
@@ -74,6 +81,8 @@
     report = room.report
     if not room.is_usable or not room.is_listed or report.is_draining:
         return False
+    if room.orphans:
+        return False
     if report.service != stage.owner.job.queue.service:
         return False
     label = stage.step.required_label
--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -143,6 +143,7 @@
     :ivar first_attempt: number below that of the first run to be ordered.
     :ivar is_inherited: whether an earlier owner may have started its tasks.
     :ivar accepted_at_s: estimate of the acceptance on this host's clock.
+    :ivar is_excess: whether the job is beyond the share of its team.
     :ivar objective_s: time from the acceptance in which callers want the
         job to be complete, by the estimates of its steps.
     :ivar durable_state: newest state that is in the store.
@@ -156,6 +157,7 @@
     durable_state: JobState = JobState.QUEUED
     ended_unix_ms: int = 0
     has_started: bool = False
+    is_excess: bool = False
     objective_s: float = 0
     stages: dict[tuple[int, int], Stage] = attrs.field(factory=dict)
 
--- a/packages/currantreach-jobs/src/currantreach_jobs/_rooms.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_rooms.py
@@ -16,7 +16,7 @@
 
     from currantreach_jobs._model import Step, Team
 
-__all__ = ('TeamUse', 'WorkerRoom', 'taken_room')
+__all__ = ('TeamUse', 'WorkerRoom', 'taken_room', 'whole_room_count')
 
 _NOTHING = Resources()
 
@@ -28,11 +28,29 @@
     return step.needed
 
 
+def whole_room_count(step: Step, room: Resources) -> int:
+    """Return how many tasks of a step fit into a room."""
+    needed = taken_room(step)
+    counts = [
+        have // need
+        for have, need in (
+            (room.cpu_milli, needed.cpu_milli),
+            (room.memory_mib, needed.memory_mib),
+            (room.accelerator_count, needed.accelerator_count),
+        )
+        if need
+    ]
+    fitting = max(0, min(counts, default=step.task_count))
+    return min(fitting, step.task_count)
+
+
 @attrs.define(slots=True, kw_only=True, eq=False)
 class WorkerRoom:
     """A worker, its runs and the room that is left.
 
     :ivar is_usable: whether its lists are known and it answers.
+    :ivar orphans: runs on the worker that nobody wants any more; what they
+        take is not known, so nothing is started beside them.
     :ivar is_listed: whether the platform lists the worker.
     :ivar reserved_by: stage for which freed room is kept.
     :ivar failing_until_s: end of the pause after a streak of failures.
@@ -43,7 +61,8 @@
     is_usable: bool = False
     failing_until_s: float = 0
     failed_jobs: set[str] = attrs.field(factory=set)
-    runs: dict[tuple[object, int], Run] = attrs.field(factory=dict)
+    runs: dict[tuple[TaskKey, int], Run] = attrs.field(factory=dict)
+    orphans: set[tuple[TaskKey, int]] = attrs.field(factory=set)
     reserved_by: object | None = None
     reserved_until_s: float = 0
     is_listed: bool = True
@@ -65,18 +84,7 @@
 
     def count_of(self, step: Step) -> int:
         """Return how many more tasks of a step fit."""
-        needed = taken_room(step)
-        counts = [
-            have // need
-            for have, need in (
-                (self.free.cpu_milli, needed.cpu_milli),
-                (self.free.memory_mib, needed.memory_mib),
-                (self.free.accelerator_count, needed.accelerator_count),
-            )
-            if need
-        ]
-        fitting = max(0, min(counts, default=step.task_count))
-        return min(fitting, step.task_count)
+        return whole_room_count(step, self.free)
 
     def has_mixed_sharing(self, step: Step) -> bool:
         """Tell whether a step would fill beside tasks that serve."""
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -16,6 +16,7 @@
     from currantreach_jobs._model import HoldReply, TaskKey
     from currantreach_jobs._ports import WorkerPort
     from currantreach_jobs._progress import Run
+    from currantreach_jobs._rooms import WorkerRoom
     from currantreach_jobs._terms import JobSettings, Tenure
     from currantreach_types import Clock
 
@@ -233,8 +234,7 @@
         self.is_adopted = True
         self._sure_deadline_ms = reply.clock_ms + _FIRST_LEASE_MS
         for found in reply.running:
-            if self._board.adopt(self.worker_id, found) is None:
-                self._stop_orphan(found.task, found.attempt)
+            self._board.adopt(self.worker_id, found)
         log_event(
             'worker_adopted',
             worker=self.worker_id,
@@ -270,15 +270,13 @@
         if room is None:
             return
         room.is_usable = True
-        listed = {}
-        for found in reply.running:
-            listed[found.task, found.attempt] = found
-            run = room.runs.get((found.task, found.attempt))
-            if run is None:
-                self._stop_orphan(found.task, found.attempt)
-            elif found.checkpoint:
-                task = run.stage.tasks[found.task.index]
-                task.checkpoint = found.checkpoint
+        listed = {(found.task, found.attempt): found for found in reply.running}
+        self._stop_orphans(room, set(listed) - set(room.runs))
+        for run in room.running():
+            found_run = listed.get((run.task, run.attempt))
+            if found_run is not None and found_run.checkpoint:
+                task = run.stage.tasks[run.task.index]
+                task.checkpoint = found_run.checkpoint
         if len(reply.ended) >= _FULL_LIST:
             return
         for run in tuple(room.running()):
@@ -358,16 +356,23 @@
         else:
             self._board.refuse(run, answer)
 
-    def _stop_orphan(self, task: TaskKey, attempt: int) -> None:
-        log_event(
-            'orphan_stopped',
-            job=task.job_id,
-            step=task.step,
-            task=task.index,
-            attempt=attempt,
-            worker=self.worker_id,
-        )
-        self._in_background(self._stop(task, attempt, None))
+    def _stop_orphans(
+        self,
+        room: WorkerRoom,
+        orphans: set[tuple[TaskKey, int]],
+    ) -> None:
+        """Stop runs that nobody wants; those known before are being stopped."""
+        for task, attempt in orphans - room.orphans:
+            log_event(
+                'orphan_stopped',
+                job=task.job_id,
+                step=task.step,
+                task=task.index,
+                attempt=attempt,
+                worker=self.worker_id,
+            )
+            self._in_background(self._stop(task, attempt, None))
+        room.orphans = orphans
 
     async def _stop(
         self,
@@ -385,7 +390,7 @@
                     self._tenure.epoch,
                 )
             except PlatformError:
-                if run is None or self.is_lost:
+                if self.is_lost:
                     return
                 await asyncio.sleep(_RETRY_S)
                 continue
--- a/packages/currantreach-jobs/tests/conftest.py
+++ b/packages/currantreach-jobs/tests/conftest.py
@@ -36,6 +36,7 @@
 from currantreach_jobs._intake import Intake
 from currantreach_jobs._links import Links
 from currantreach_jobs._master import Master
+from currantreach_jobs._records import decode_job
 from currantreach_platform import KeyValue, TransactionalStore, WatchResult
 from currantreach_types import Resources
 from currantreach_types.errors import (
@@ -70,7 +71,7 @@
 
     order: object
     end_s: float
-    is_failing: bool = False
+    kind: EndKind
 
 
 class MemoryStore(TransactionalStore):
@@ -240,6 +241,7 @@
         self.delayed = []
         self.refusal = None
         self.fails = False
+        self.stop_s = STOP_S
         self.room = ROOM
         self.is_draining = False
         self.lives = 0
@@ -283,8 +285,7 @@
         is_over = self.deadline_ms and self.clock_ms() > self.deadline_ms
         for key, run in tuple(self.running.items()):
             if run.end_s <= now_s:
-                kind = EndKind.FAILED if run.is_failing else EndKind.DONE
-                self.end(key, kind)
+                self.end(key, run.kind)
         if is_over:
             for lapsed in tuple(self.running):
                 self.end(lapsed, EndKind.LAPSED)
@@ -329,7 +330,7 @@
         self.running[key] = Running(
             order,
             self.fleet.clock.now_s() + self.fleet.work_s,
-            self.fails,
+            EndKind.FAILED if self.fails else EndKind.DONE,
         )
         self.fleet.note_start(self, order)
         return StartAnswer.STARTED
@@ -339,8 +340,13 @@
         self.step()
         if not self.fence(token):
             return False
-        if (task, attempt) in self.running:
-            self.end((task, attempt), EndKind.STOPPED)
+        stopping = self.running.get((task, attempt))
+        if stopping is not None:
+            stopping.kind = EndKind.STOPPED
+            stopping.end_s = min(
+                stopping.end_s,
+                self.fleet.clock.now_s() + self.stop_s,
+            )
         self.closed[task] = max(attempt, self.closed.get(task, 0))
         return True
 
@@ -428,6 +434,7 @@
         self.starts = []
         self.done = collections.Counter()
         self.overlaps = []
+        self.overfilled = []
         self.restarts = []
         self.allowed = None
         self.advice_calls = []
@@ -470,9 +477,20 @@
             if self.allowed is None or name in self.allowed
         )
 
+    def needed_by(self, task):
+        """Return the room that a task takes, from its stored job."""
+        stored = self.store.keys[f'jobs/{task.job_id}'].stored
+        return decode_job(stored).steps[task.step].needed
+
     def note_start(self, worker, order):
         """Check a start against all other runs of its task."""
         self.starts.append((worker.worker_id, order))
+        taken = sum(
+            (self.needed_by(task) for task, _ in worker.running),
+            Resources(),
+        )
+        if not taken.fits_in(worker.room):
+            self.overfilled.append(worker.worker_id)
         if self.settled.get(order.task):
             self.restarts.append(order.task)
         for other in self.workers.values():
@@ -625,6 +643,7 @@
             runner.run(whole())
             assert not fleet.overlaps
             assert not fleet.restarts
+            assert not fleet.overfilled
 
     return run
 
--- a/packages/currantreach-jobs/tests/test_takeovers.py
+++ b/packages/currantreach-jobs/tests/test_takeovers.py
@@ -7,6 +7,7 @@
 import pytest
 
 from currantreach_jobs import Outcome
+from currantreach_types import Resources
 
 
 def states(host):
@@ -186,3 +187,30 @@
         assert shown == 'cancelled'
 
     play(scenario)
+
+
+def test_cancelled_runs_still_take_room(play, job, wait_until):
+    """A successor must count the room of runs that it does not want.
+
+    After a takeover the runs of a cancelled job were being stopped, but
+    their room was taken for free and the worker was overfilled.
+    """
+    whole = Resources(cpu_milli=16000, memory_mib=1000)
+
+    async def scenario(fleet, site):
+        worker = fleet.add('w1')
+        worker.stop_s = 1
+        fleet.work_s = 30
+        first = site.start('a')
+        second = site.start('b')
+        await first.intake.submit(job('a' * 16, needed=whole))
+        await wait_until(lambda: fleet.starts)
+        deciding = first if first.master else second
+        other = second if first.master else first
+        deciding.kill()
+        await other.intake.cancel('a' * 16, 'lookups', 'orchard')
+        await other.intake.submit(job('b' * 16, needed=whole))
+        await wait_until(lambda: len(fleet.starts) == 2)
+        assert not fleet.overfilled
+
+    play(scenario)
