Let another daemon write what the store turned away

Cause: a daemon that the store rejects refused every job, and kept asking a leader that had ended, for as long as the store kept it out.

Change: such a daemon passes submissions and cancellations on to the leader or another daemon, learns the leader from its peers, and reports itself not ready two seconds after the store last answered it.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_cell.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_cell.py
@@ -7,6 +7,7 @@
 import secrets
 from typing import TYPE_CHECKING
 
+from currantreach_jobs._messages import CellReply
 from currantreach_jobs._records import (
     CELL_PREFIX,
     EPOCH_KEY,
@@ -28,6 +29,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from currantreach_jobs._terms import JobSettings
     from currantreach_platform import TransactionalStore
     from currantreach_types import Clock
@@ -36,7 +39,9 @@
 
 _SECRET_BYTES = 32
 _RETRY_S = 0.3
-_WATCH_S = 5
+_WATCH_S = 2
+# A view that is older than two watches says nothing of the present.
+_FRESH_S = 4
 # The former leader tries at once, the others spread over this time so that
 # few of their transactions fail.
 _CAMPAIGN_SPREAD_S = 0.15
@@ -90,6 +95,8 @@
         self.leader: LeaderRecord | None = None
         self.has_store_at_s: float = 0
         self.is_leaving = False
+        self.read_peer: Callable[[str], Awaitable[CellReply | None]] | None
+        self.read_peer = None
         self._store = store
         self._settings = settings
         self._clock = clock
@@ -114,9 +121,11 @@
             except PlatformError as error:
                 log_event('cell_unread', error=error)
                 revision = 0
+                await self._ask_peer()
                 await asyncio.sleep(_RETRY_S)
                 continue
             revision = found.revision
+            self.has_store_at_s = self._clock.now_s()
             for entry in found.changed:
                 self._note(entry)
             for key in found.deleted:
@@ -176,6 +185,15 @@
         except PlatformError as error:
             log_event('resign_failed', error=error)
 
+    def view(self) -> CellReply:
+        """Return what this daemon knows, for one that the store rejects."""
+        age_s = self._clock.now_s() - self.has_store_at_s
+        return CellReply(
+            has_store=age_s < _FRESH_S,
+            members=dict(self.members),
+            leader=self.leader,
+        )
+
     async def _read_all(self) -> int:
         found = await self._store.list_prefix(CELL_PREFIX)
         members = {self.daemon_id: self.address}
@@ -230,6 +248,20 @@
         )
         return lease_id
 
+    async def _ask_peer(self) -> None:
+        """Take over the view of a daemon that the store answers."""
+        others = [name for name in self.members if name != self.daemon_id]
+        if not others or self.read_peer is None:
+            return
+        name = random.choice(others)
+        view = await self.read_peer(self.members[name])
+        if view is None or not view.has_store:
+            return
+        self.members = {**view.members, self.daemon_id: self.address}
+        if self.leader != view.leader:
+            log_event('leader_told', by=name, leader=view.leader)
+            self.leader = view.leader
+
     async def _vacancy(self) -> None:
         """Wait until no daemon decides."""
         while self.leader is not None or not self._is_known:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_daemon.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_daemon.py
@@ -8,17 +8,21 @@
 
 from currantreach_jobs._advisor import AdviceDesk
 from currantreach_jobs._cell import Cell, shared_secret
-from currantreach_jobs._intake import Intake
+from currantreach_jobs._intake import Intake, reply_of
 from currantreach_jobs._links import Links
 from currantreach_jobs._master import Master
 from currantreach_jobs._messages import (
     AdviceRequest,
+    CancelRequest,
+    CellReply,
     CountRequest,
     StateRequest,
+    SubmitRequest,
 )
 from currantreach_links import Handler, PeerServer
 from currantreach_telemetry import log_event, log_problem
 from currantreach_types import decode_packed, encode_packed
+from currantreach_types.errors import CurrantreachError
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -32,8 +36,10 @@
 
 _ID_BYTES = 3
 _CLEAN_S = 5
-# A daemon whose store calls fail for this long sends new callers elsewhere.
-_STORE_SILENCE_S = 4
+_ASK_S = 0.5
+# A daemon that hears nothing of the store for this long sends new callers
+# elsewhere; its watches return once a second.
+_STORE_SILENCE_S = 2
 
 
 class JobDaemon:
@@ -65,6 +71,7 @@
             clock,
         )
         self._links = Links(self._cell)
+        self._cell.read_peer = self._read_peer
         self._desk = AdviceDesk(outside.advice)
         self.intake = Intake(
             outside.store,
@@ -84,11 +91,8 @@
         """Tell whether new callers should come to this daemon."""
         if not self._is_open or self._cell.is_leaving or self.config is None:
             return False
-        newest_s = max(
-            self._cell.has_store_at_s,
-            self._outside.source.confirmed_at_s,
-        )
-        return self._clock.now_s() < newest_s + _STORE_SILENCE_S
+        heard_at_s = self._outside.source.heard_at_s
+        return self._clock.now_s() < heard_at_s + _STORE_SILENCE_S
 
     async def run(self) -> None:
         """Serve until the task is cancelled."""
@@ -166,14 +170,47 @@
     def _handlers(self) -> dict[str, Handler]:
         return {
             'advise': self._on_advise,
+            'cancel': self._on_cancel,
+            'cell': self._on_cell,
             'count': self._on_count,
             'state': self._on_state,
+            'submit': self._on_submit,
         }
 
     async def _on_advise(self, body: bytes) -> bytes:
         request = decode_packed(body, AdviceRequest)
         return encode_packed(await self._desk.ask(request))
 
+    async def _on_cell(self, _: bytes) -> bytes:
+        return encode_packed(self._cell.view())
+
+    async def _on_submit(self, body: bytes) -> bytes:
+        request = decode_packed(body, SubmitRequest)
+        verdict = await self.intake.submit_here(request.job)
+        return encode_packed(reply_of(verdict))
+
+    async def _on_cancel(self, body: bytes) -> bytes:
+        request = decode_packed(body, CancelRequest)
+        verdict = await self.intake.cancel_here(
+            request.job_id,
+            request.queue,
+            request.team,
+        )
+        return encode_packed(reply_of(verdict))
+
+    async def _read_peer(self, address: str) -> CellReply | None:
+        try:
+            return await self._links.call(
+                address,
+                'cell',
+                None,
+                CellReply,
+                _ASK_S,
+            )
+        except CurrantreachError as error:
+            log_event('peer_unreachable', address=address, error=error)
+            return None
+
     async def _on_state(self, body: bytes) -> bytes:
         request = decode_packed(body, StateRequest)
         return encode_packed(self.intake.answer_state(request))
--- a/packages/currantreach-jobs/src/currantreach_jobs/_intake.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_intake.py
@@ -11,10 +11,13 @@
 import attrs
 
 from currantreach_jobs._messages import (
+    CancelRequest,
     CountReply,
     CountRequest,
     StateReply,
     StateRequest,
+    SubmitRequest,
+    VerdictReply,
 )
 from currantreach_jobs._model import Job, JobState
 from currantreach_jobs._records import (
@@ -25,6 +28,7 @@
     job_key,
     progress_key,
 )
+from currantreach_links import NotSentError
 from currantreach_platform import Write
 from currantreach_telemetry import log_event
 from currantreach_types.errors import (
@@ -44,9 +48,13 @@
     from currantreach_jobs._model import SiteConfig
     from currantreach_platform import TransactionalStore
 
-__all__ = ('Intake', 'Outcome', 'Verdict')
+__all__ = ('Intake', 'Outcome', 'Verdict', 'reply_of')
 
 _ASK_S = 0.6
+# Daemons that are asked to write what this one could not.
+_PASSED_ON_TRIES = 2
+# After a failed call other daemons are asked first for this long.
+_REJECTED_S = 0.5
 _WRITE_TRIES = 3
 _NS_PER_MS = 1000000
 _RETRY_S = 0.1
@@ -85,6 +93,20 @@
     settled: asyncio.Future[bool]
 
 
+_UNAVAILABLE = Verdict(
+    outcome=Outcome.STORE_UNAVAILABLE,
+    retry_after_s=_STORE_RETRY_S,
+)
+
+
+def reply_of(verdict: Verdict) -> VerdictReply:
+    """Return the message that carries a verdict."""
+    return VerdictReply(
+        outcome=verdict.outcome.value,
+        retry_after_s=verdict.retry_after_s,
+    )
+
+
 class Intake:
     """Accepts jobs durably and answers for them.
 
@@ -109,6 +131,7 @@
         self._links = links
         self._read_master = read_master
         self._read_config = read_config
+        self._rejected_until_s: float = 0
         self._waiting: list[_Waiting] = []
         self._has_waiting = asyncio.Event()
 
@@ -127,6 +150,25 @@
         """Accept a job, or tell why it never runs."""
         if self._never_fits(job):
             return Verdict(outcome=Outcome.NEVER_FITS)
+        verdict = _UNAVAILABLE
+        if self._may_write():
+            verdict = await self.submit_here(job)
+            if not self._note(verdict):
+                return verdict
+        return await self._pass_on('submit', SubmitRequest(job=job), verdict)
+
+    async def cancel(self, job_id: str, queue: str, team: str) -> Verdict:
+        """Cancel a job durably."""
+        verdict = _UNAVAILABLE
+        if self._may_write():
+            verdict = await self.cancel_here(job_id, queue, team)
+            if not self._note(verdict):
+                return verdict
+        request = CancelRequest(job_id=job_id, queue=queue, team=team)
+        return await self._pass_on('cancel', request, verdict)
+
+    async def submit_here(self, job: Job) -> Verdict:
+        """Accept a job by a write of this daemon."""
         stamped = attrs.evolve(
             job,
             accepted_unix_ms=time.time_ns() // _NS_PER_MS,
@@ -147,16 +189,13 @@
             return await self._repeated(job)
         except StoreUnavailableError as error:
             log_event('job_refused', job=job.job_id, error=error)
-            return Verdict(
-                outcome=Outcome.STORE_UNAVAILABLE,
-                retry_after_s=_STORE_RETRY_S,
-            )
+            return _UNAVAILABLE
         except PlatformError as unknown:
             log_event('job_unknown', job=job.job_id, error=unknown)
             return Verdict(outcome=Outcome.UNKNOWN)
 
-    async def cancel(self, job_id: str, queue: str, team: str) -> Verdict:
-        """Cancel a job durably."""
+    async def cancel_here(self, job_id: str, queue: str, team: str) -> Verdict:
+        """Cancel a job by a write of this daemon."""
         try:
             found = await self._store.get(job_key(job_id))
             if found is None:
@@ -167,10 +206,7 @@
             await self._create(cancel_key(job_id), b'')
         except StoreUnavailableError as error:
             log_event('cancel_refused', job=job_id, error=error)
-            return Verdict(
-                outcome=Outcome.STORE_UNAVAILABLE,
-                retry_after_s=_STORE_RETRY_S,
-            )
+            return _UNAVAILABLE
         except PlatformError as unknown:
             log_event('cancel_unknown', job=job_id, error=unknown)
             return Verdict(outcome=Outcome.UNKNOWN)
@@ -240,6 +276,65 @@
             pending_count=master.board.pending_count(request.queue),
         )
 
+    def _may_write(self) -> bool:
+        """Tell whether the store did not turn this daemon away just now."""
+        return time.monotonic() >= self._rejected_until_s
+
+    def _note(self, verdict: Verdict) -> bool:
+        """Note whether the store answered; return whether it did not."""
+        is_failed = verdict.outcome in {
+            Outcome.STORE_UNAVAILABLE,
+            Outcome.UNKNOWN,
+        }
+        if is_failed:
+            self._rejected_until_s = time.monotonic() + _REJECTED_S
+        return is_failed
+
+    async def _pass_on(
+        self,
+        method: str,
+        request: object,
+        verdict: Verdict,
+    ) -> Verdict:
+        """Let another daemon write what this one could not.
+
+        :param verdict: what the own try ended with.
+        """
+        leader = self._cell.leader
+        others = [
+            address
+            for name, address in self._cell.members.items()
+            if name != self._cell.daemon_id
+        ]
+        if leader is not None and leader.address in others:
+            others.remove(leader.address)
+            others.insert(0, leader.address)
+        for address in others[:_PASSED_ON_TRIES]:
+            try:
+                reply = await self._links.call(
+                    address,
+                    method,
+                    request,
+                    VerdictReply,
+                    _ASK_S,
+                )
+            except NotSentError as unsent:
+                log_event('not_passed_on', method=method, error=unsent)
+                continue
+            except CurrantreachError as error:
+                log_event('passed_on_unanswered', method=method, error=error)
+                verdict = Verdict(outcome=Outcome.UNKNOWN)
+                continue
+            passed = Verdict(
+                outcome=Outcome(reply.outcome),
+                retry_after_s=reply.retry_after_s,
+            )
+            if passed.outcome is Outcome.UNKNOWN:
+                verdict = passed
+            elif passed.outcome is not Outcome.STORE_UNAVAILABLE:
+                return passed
+        return verdict
+
     async def _ask_state(self, job_id: str) -> StateReply:
         request = StateRequest(job_id=job_id)
         leader = self._cell.leader
--- a/packages/currantreach-jobs/src/currantreach_jobs/_messages.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_messages.py
@@ -4,13 +4,20 @@
 
 import attrs
 
+from currantreach_jobs._model import Job
+from currantreach_jobs._records import LeaderRecord
+
 __all__ = (
     'AdviceReply',
     'AdviceRequest',
+    'CancelRequest',
+    'CellReply',
     'CountReply',
     'CountRequest',
     'StateReply',
     'StateRequest',
+    'SubmitRequest',
+    'VerdictReply',
 )
 
 
@@ -66,3 +73,42 @@
     """Codes of the tickets by worker."""
 
     tickets: dict[str, str] = attrs.field(factory=dict)
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class SubmitRequest:
+    """Job that another daemon could not store."""
+
+    job: Job
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class CancelRequest:
+    """Cancellation that another daemon could not store."""
+
+    job_id: str
+    queue: str
+    team: str
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class VerdictReply:
+    """What became of a call that was passed on.
+
+    :ivar outcome: value of an :class:`~currantreach_jobs.Outcome`.
+    """
+
+    outcome: str
+    retry_after_s: float = 0
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class CellReply:
+    """View of the cell of a daemon that hears the store.
+
+    :ivar has_store: whether the store answered the daemon lately.
+    """
+
+    has_store: bool
+    members: dict[str, str] = attrs.field(factory=dict)
+    leader: LeaderRecord | None = None
--- a/packages/currantreach-jobs/src/currantreach_jobs/_ports.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_ports.py
@@ -120,8 +120,8 @@
 
     @property
     @abc.abstractmethod
-    def confirmed_at_s(self) -> float:
-        """Return when the newest version was last known to be the newest."""
+    def heard_at_s(self) -> float:
+        """Return when the operator's store last answered."""
 
     @abc.abstractmethod
     async def follow(self) -> None:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_rooms.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_rooms.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from currantreach_jobs._model import WorkerReport
+from currantreach_jobs._model import TaskKey, WorkerReport
 from currantreach_jobs._progress import Run
 from currantreach_types import Resources
 
--- a/packages/currantreach-jobs/tests/conftest.py
+++ b/packages/currantreach-jobs/tests/conftest.py
@@ -33,10 +33,10 @@
 )
 from currantreach_jobs._advisor import AdviceDesk
 from currantreach_jobs._cell import Cell
-from currantreach_jobs._intake import Intake
-from currantreach_jobs._links import Links
+from currantreach_jobs._intake import Intake, reply_of
 from currantreach_jobs._master import Master
 from currantreach_jobs._records import decode_job
+from currantreach_links import NotSentError
 from currantreach_platform import KeyValue, TransactionalStore, WatchResult
 from currantreach_types import Resources
 from currantreach_types.errors import (
@@ -224,6 +224,74 @@
         self.changed = asyncio.Event()
 
 
+class OwnStore(TransactionalStore):
+    """View of the store that one daemon has; it may be turned away."""
+
+    max_entries = MemoryStore.max_entries
+
+    def __init__(self, store):
+        self.store = store
+        self.is_rejected = False
+
+    async def get(self, key):
+        return await self._call(self.store.get, key)
+
+    async def list_prefix(self, prefix):
+        return await self._call(self.store.list_prefix, prefix)
+
+    async def put(self, key, stored, expected_revision, lease_id=''):
+        raise NotImplementedError
+
+    async def delete(self, key, expected_revision):
+        raise NotImplementedError
+
+    async def commit(self, expected, writes, removed=()):
+        return await self._call(self.store.commit, expected, writes, removed)
+
+    async def grant_lease(self, ttl_s):
+        return await self._call(self.store.grant_lease, ttl_s)
+
+    async def renew_lease(self, lease_id):
+        return await self._call(self.store.renew_lease, lease_id)
+
+    async def revoke_lease(self, lease_id):
+        return await self._call(self.store.revoke_lease, lease_id)
+
+    async def watch(self, prefix, after_revision, timeout_s):
+        return await self._call(
+            self.store.watch,
+            prefix,
+            after_revision,
+            timeout_s,
+        )
+
+    async def close(self):
+        """Nothing is open."""
+
+    async def _call(self, method, *args):
+        if self.is_rejected:
+            await asyncio.sleep(0.004)
+            raise StoreUnavailableError('turned away')
+        return await method(*args)
+
+
+class FakeLinks:
+    """Links that call the other daemons of a site directly."""
+
+    def __init__(self, site):
+        self.site = site
+
+    async def call(self, address, method, message, reply_kind, timeout_s):
+        await asyncio.sleep(0.005)
+        host = self.site.hosts[address]
+        if host.is_killed:
+            raise NotSentError('no such daemon')
+        return await getattr(host, f'on_{method}')(message)
+
+    async def close(self):
+        """Nothing is open."""
+
+
 class FakeWorker:
     """Worker that keeps fences, leases and numbers of runs.
 
@@ -465,7 +533,7 @@
         return self.known_config
 
     @property
-    def confirmed_at_s(self):
+    def heard_at_s(self):
         return self.clock.now_s()
 
     async def advise(self, job_id, occurrence, step, worker_ids, timeout_s):
@@ -529,10 +597,31 @@
     cell: Cell
     intake: Intake
     tasks: list
+    store: OwnStore
     master: Master | None = None
+    is_killed: bool = False
+
+    async def on_submit(self, request):
+        return reply_of(await self.intake.submit_here(request.job))
+
+    async def on_cancel(self, request):
+        return reply_of(
+            await self.intake.cancel_here(
+                request.job_id,
+                request.queue,
+                request.team,
+            ),
+        )
+
+    async def on_state(self, request):
+        return self.intake.answer_state(request)
+
+    async def on_cell(self, _):
+        return self.cell.view()
 
     def kill(self):
         """End the daemon at once."""
+        self.is_killed = True
         for task in self.tasks:
             task.cancel()
         self.master = None
@@ -543,24 +632,33 @@
 
     def __init__(self, fleet):
         self.fleet = fleet
-        self.hosts = []
+        self.hosts = {}
         self.settings = JobSettings()
 
     def start(self, name):
         """Start a daemon."""
         fleet = self.fleet
-        cell = Cell(name, name, fleet.store, self.settings, fleet.clock)
-        links = Links(cell)
-        host = Host(fleet, cell, None, [])
+        store = OwnStore(fleet.store)
+        cell = Cell(name, name, store, self.settings, fleet.clock)
+        links = FakeLinks(self)
+        host = Host(fleet, cell, None, [], store)
+
+        async def read_peer(address):
+            try:
+                return await links.call(address, 'cell', None, None, 1)
+            except NotSentError:
+                return None
+
+        cell.read_peer = read_peer
         host.intake = Intake(
-            fleet.store,
+            store,
             cell,
             links,
             lambda: host.master,
             lambda: fleet.config,
         )
         outside = Surroundings(
-            store=fleet.store,
+            store=store,
             directory=fleet,
             source=fleet,
             advice=fleet,
@@ -589,12 +687,12 @@
             decide(),
         )
         host.tasks = [asyncio.ensure_future(part) for part in parts]
-        self.hosts.append(host)
+        self.hosts[name] = host
         return host
 
     def close(self):
         """End all daemons."""
-        for host in self.hosts:
+        for host in self.hosts.values():
             host.kill()
 
 
