--- a/packages/currantreach-jobs/src/currantreach_jobs/_daemon.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_daemon.py
@@ -135,6 +135,8 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         await self._links.close()
         await server.close()
+        await self._outside.advice.close()
+        await self._outside.store.close()
 
     async def _supervise(self, tasks: list[asyncio.Task[None]]) -> None:
         done, _ = await asyncio.wait(
--- a/packages/currantreach-jobs/src/currantreach_jobs/_ports.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_ports.py
@@ -92,6 +92,10 @@
         :raises PlatformError: if the service refuses or does not answer.
         """
 
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Close all connections."""
+
 
 class WorkerDirectory(abc.ABC):
     """The platform's list of workers, followed in the background."""
