--- a/packages/currantreach-jobs/src/currantreach_jobs/_daemon.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_daemon.py
@@ -105,7 +105,6 @@
         self._is_open = True
         log_event('daemon_started', daemon=self.daemon_id)
         parts: list[Coroutine[object, object, None]] = [
-            outside.directory.follow(),
             self._cell.follow(),
             self._cell.keep_member(),
             self.intake.run(),
--- a/packages/currantreach-jobs/src/currantreach_jobs/_master.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_master.py
@@ -128,6 +128,7 @@
         parts: list[Coroutine[object, object, None]] = [
             self._committer.run(),
             feed.follow(revision),
+            self._outside.directory.follow(),
             self._follow_workers(),
             self._sweep(),
         ]
--- a/packages/currantreach-jobs/src/currantreach_jobs/_ports.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_ports.py
@@ -98,7 +98,7 @@
 
 
 class WorkerDirectory(abc.ABC):
-    """The platform's list of workers, followed in the background."""
+    """The platform's list of workers, followed by the deciding daemon."""
 
     @property
     @abc.abstractmethod
--- a/packages/currantreach-jobs/tests/conftest.py
+++ b/packages/currantreach-jobs/tests/conftest.py
@@ -526,7 +526,7 @@
         await asyncio.sleep(0.2)
 
     async def follow(self):
-        await asyncio.sleep(0)
+        await asyncio.Event().wait()
 
     @property
     def config(self):
