Write where each task may run before it is started

Change: the progress record names the worker of each task that is not done, in the group commit that carries the ends. A successor holds back only the tasks of workers that it cannot reach, and counts them against the team's limit.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_board.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_board.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from typing import TYPE_CHECKING
 
 from currantreach_jobs._model import EndKind, JobState
@@ -10,6 +9,7 @@
 from currantreach_jobs._progress import JobProgress, Run, RunPhase, Stage
 from currantreach_jobs._rooms import TeamUse, WorkerRoom
 from currantreach_telemetry import log_event
+from currantreach_types import unix_now_ms
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -27,11 +27,6 @@
 __all__ = ('Board',)
 
 _MS_PER_S = 1000
-_NS_PER_MS = 1000000
-# Three different jobs in a row fail on a sound worker once in some thousand
-# times, as one task in twenty fails by its own fault.
-_FAILURE_STREAK = 3
-_FAILURE_PAUSE_S = 4
 # Retries of a start that a worker refused are spread over this time.
 _REFUSED_PAUSE_S = 0.2
 
@@ -61,10 +56,6 @@
         self._mark_changed = mark_changed
         self._wake = wake
 
-    def unix_ms(self) -> int:
-        """Return the time of day in milliseconds."""
-        return time.time_ns() // _NS_PER_MS
-
     def take_stops(self) -> list[Run]:
         """Return the runs to be stopped and forget them."""
         runs = self.to_stop
@@ -89,7 +80,7 @@
         """
         if job.job_id in self.jobs:
             return
-        age_s = max(0, self.unix_ms() - job.accepted_unix_ms) / _MS_PER_S
+        age_s = max(0, unix_now_ms() - job.accepted_unix_ms) / _MS_PER_S
         progress = JobProgress(
             job=job,
             first_attempt=first_attempt,
@@ -106,6 +97,7 @@
             progress.build()
         if record is not None:
             progress.restore(record)
+            self._count_held(progress)
         self.jobs[job.job_id] = progress
         if not progress.state.is_final:
             self.open_jobs[job.job_id] = progress
@@ -136,10 +128,9 @@
     def lose_worker(self, worker_id: str) -> None:
         """Note that nothing runs on a worker any more."""
         room = self.rooms.get(worker_id)
-        if room is None:
-            return
-        for run in tuple(room.running()):
+        for run in tuple(room.running()) if room else ():
             self.lose_run(run)
+        self.settle_worker(worker_id)
 
     def begin(
         self,
@@ -162,6 +153,7 @@
         )
         task.run = run
         self._occupy(run)
+        self._mark_changed(run.task.job_id)
         return run
 
     def confirm(self, run: Run) -> None:
@@ -223,14 +215,23 @@
         stage = self.stage_of(found.task)
         if stage is None or stage.owner.state.is_final:
             return None
-        task = stage.tasks[found.task.index]
-        if task.is_done or task.run is not None:
+        if stage.held.get(found.task.index) != worker_id:
             return None
+        task = stage.tasks[found.task.index]
+        self._release_held(stage, found.task.index)
         run = self.begin(stage, found.task.index, worker_id, found.attempt)
         task.checkpoint = found.checkpoint or task.checkpoint
         self.confirm(run)
         return run
 
+    def settle_worker(self, worker_id: str) -> None:
+        """Note that all runs of earlier owners on a worker are known."""
+        for progress in self.open_jobs.values():
+            for stage in progress.stages.values():
+                for index in stage.held_on(worker_id):
+                    self._release_held(stage, index)
+        self._wake()
+
     def run_of(self, task: TaskKey, attempt: int, worker_id: str) -> Run | None:
         """Return the run of a task on a worker, if it is known."""
         room = self.rooms.get(worker_id)
@@ -266,7 +267,7 @@
             stage = run.stage
             self._release(run)
         elif is_inherited:
-            stage = self.stage_of(ended.task)
+            stage = self._held_stage(ended.task, worker_id)
         if stage is None or stage.owner.state.is_final:
             return
         task = stage.tasks[ended.task.index]
@@ -281,7 +282,7 @@
 
     def ready_stages(self) -> Iterator[Stage]:
         """Yield all stages with tasks that may be started."""
-        unix_ms = self.unix_ms()
+        unix_ms = unix_now_ms()
         for progress in self.open_jobs.values():
             yield from progress.ready_stages(unix_ms)
 
@@ -313,6 +314,8 @@
         progress.has_started = True
         if stage.step.is_gang:
             # All members of a gang end together, so one end counts for all.
+            for held in tuple(stage.held):
+                self._release_held(stage, held)
             for index in range(stage.step.task_count):
                 stage.finish(index)
         else:
@@ -329,7 +332,9 @@
         worker_id: str,
     ) -> None:
         progress = stage.owner
-        self._note_worker_failure(worker_id, progress.job.job_id)
+        room = self.rooms.get(worker_id)
+        if room is not None:
+            room.note_failure(progress.job.job_id, self._clock.now_s())
         if stage.step.is_lasting:
             return
         task = stage.tasks[ended.task.index]
@@ -353,20 +358,10 @@
         if failures >= progress.job.queue.max_attempts:
             self._end_job(progress, JobState.FAILED)
 
-    def _note_worker_failure(self, worker_id: str, job_id: str) -> None:
-        room = self.rooms.get(worker_id)
-        if room is None:
-            return
-        room.failed_jobs.add(job_id)
-        if len(room.failed_jobs) >= _FAILURE_STREAK:
-            room.failed_jobs.clear()
-            room.failing_until_s = self._clock.now_s() + _FAILURE_PAUSE_S
-            log_event('worker_paused', worker=worker_id, for_s=_FAILURE_PAUSE_S)
-
     def _end_job(self, progress: JobProgress, state: JobState) -> None:
         progress.state = state
         self.open_jobs.pop(progress.job.job_id, None)
-        progress.ended_unix_ms = self.unix_ms()
+        progress.ended_unix_ms = unix_now_ms()
         log_event(
             'job_ended',
             job=progress.job.job_id,
@@ -375,12 +370,33 @@
             after_s=round(self._clock.now_s() - progress.accepted_at_s, 3),
         )
         for stage in progress.stages.values():
+            for index in tuple(stage.held):
+                self._release_held(stage, index)
             stage.waiting.clear()
             if state is not JobState.COMPLETE:
                 self.stop_stage(stage)
         self._mark_changed(progress.job.job_id)
         self._wake()
 
+    def _held_stage(self, task: TaskKey, worker_id: str) -> Stage | None:
+        """Return the stage of a task that is held for a worker."""
+        stage = self.stage_of(task)
+        if stage is None or stage.held.get(task.index) != worker_id:
+            return None
+        self._release_held(stage, task.index)
+        return stage
+
+    def _count_held(self, progress: JobProgress) -> None:
+        """Let held tasks count against the limit of their team."""
+        for stage in progress.stages.values():
+            for _ in stage.held:
+                self.teams.add(progress.job.team, stage.step.needed)
+
+    def _release_held(self, stage: Stage, index: int) -> None:
+        stage.held.pop(index)
+        stage.waiting.add(index)
+        self.teams.remove(stage.owner.job.team, stage.step.needed)
+
     def _occupy(self, run: Run) -> None:
         self.rooms[run.worker_id].add(run)
         self.teams.add(run.stage.owner.job.team, run.stage.step.needed)
--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -50,7 +50,6 @@
 
         :param launch: orders a run, with its ticket.
         """
-        self.is_settled = False
         self._reservable_count = 0
         self._board = board
         self._advisor = advisor
@@ -73,8 +72,6 @@
                 self._try(stage, now_s)
 
     def _may_begin(self, stage: Stage, now_s: float) -> bool:
-        if stage.owner.is_inherited and not self.is_settled:
-            return False
         if now_s < stage.retry_at_s:
             return False
         is_partial = len(stage.waiting) < stage.step.task_count
--- a/packages/currantreach-jobs/src/currantreach_jobs/_intake.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_intake.py
@@ -31,6 +31,7 @@
 from currantreach_links import NotSentError
 from currantreach_platform import Write
 from currantreach_telemetry import log_event
+from currantreach_types import unix_now_ms
 from currantreach_types.errors import (
     CurrantreachError,
     LostAnswerError,
@@ -56,7 +57,6 @@
 # After a failed call other daemons are asked first for this long.
 _REJECTED_S = 0.5
 _WRITE_TRIES = 3
-_NS_PER_MS = 1000000
 _RETRY_S = 0.1
 # The store is asked again after about this time when it turned a call away.
 _STORE_RETRY_S = 1
@@ -171,7 +171,7 @@
         """Accept a job by a write of this daemon."""
         stamped = attrs.evolve(
             job,
-            accepted_unix_ms=time.time_ns() // _NS_PER_MS,
+            accepted_unix_ms=unix_now_ms(),
         )
         key = job_key(job.job_id)
         try:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_master.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_master.py
@@ -22,7 +22,7 @@
 from currantreach_jobs._worker_session import WorkerSession
 from currantreach_platform import Write
 from currantreach_telemetry import log_event, log_problem
-from currantreach_types import Resources, decode_packed, encode_packed
+from currantreach_types import decode_packed, encode_packed, unix_now_ms
 from currantreach_types.errors import (
     MalformedMessageError,
     PlatformError,
@@ -92,7 +92,6 @@
         )
         self._sessions: dict[str, WorkerSession] = {}
         self._session_tasks: dict[str, asyncio.Task[None]] = {}
-        self._inherited_workers: set[str] = set()
         self._unlisted_since_s: dict[str, float] = {}
         self._fleet_revision = 0
         self._fleet_written: frozenset[str] = frozenset()
@@ -145,7 +144,6 @@
     ) -> None:
         self.is_ready = True
         while not self._is_over(tasks):
-            self._decider.is_settled = self._is_settled()
             if self.tenure.may_start(self._clock.now_s()):
                 self._decider.decide()
             self._send_stops()
@@ -190,7 +188,7 @@
             epoch=self.tenure.epoch,
             jobs=len(self.board.jobs),
             open=len(self.board.open_jobs),
-            workers=len(self._inherited_workers),
+            workers=len(self._sessions),
         )
         return accepted.revision
 
@@ -205,9 +203,8 @@
             log_problem('fleet_unreadable', error=error)
             return
         for report in fleet.workers:
-            self._inherited_workers.add(report.worker_id)
             self._open_session(report)
-        self._fleet_written = frozenset(self._inherited_workers)
+        self._fleet_written = frozenset(self._sessions)
 
     def _note_job(self, job: Job) -> None:
         self.board.add_job(job, weight=self._weight_of(job))
@@ -272,7 +269,6 @@
         task = self._session_tasks.pop(worker_id)
         task.cancel()
         session = self._sessions.pop(worker_id)
-        self._inherited_workers.discard(worker_id)
         self._unlisted_since_s.pop(worker_id, None)
         self.board.remove_worker(worker_id)
         closing = asyncio.create_task(session.close())
@@ -329,19 +325,6 @@
         task.add_done_callback(_report_failure)
         self._session_tasks[report.worker_id] = task
 
-    def _is_settled(self) -> bool:
-        """Tell whether all runs of earlier owners are known or over."""
-        unknown = Resources()
-        is_settled = True
-        for worker_id in self._inherited_workers:
-            session = self._sessions[worker_id]
-            if session.is_adopted or session.is_lost:
-                continue
-            is_settled = False
-            unknown += self.board.room_of(worker_id)
-        self.board.teams.unknown = unknown
-        return is_settled
-
     def _launch(self, run: Run, ticket: str) -> None:
         self._sessions[run.worker_id].start(run, ticket)
 
@@ -356,7 +339,7 @@
         while True:
             await asyncio.sleep(_SWEEP_S)
             keep_ms = round(self._settings.keep_ended_s * _MS_PER_S)
-            limit_ms = self.board.unix_ms() - keep_ms
+            limit_ms = unix_now_ms() - keep_ms
             ended = [
                 job_id
                 for job_id, progress in self.board.jobs.items()
--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -64,6 +64,8 @@
     """One step of one occurrence of a job.
 
     :ivar waiting: indices of the tasks that have no run and are not done.
+    :ivar held: tasks that an earlier owner placed on a worker whose lists
+        are not known yet, with that worker.
     :ivar allowed: verdicts of the placement service by worker.
     :ivar tickets: code and end of validity by worker.
     :ivar asked_until_s: when the outstanding call for advice is given up.
@@ -76,6 +78,7 @@
     tasks: list[TaskProgress]
     waiting: set[int]
     done_count: int = 0
+    held: dict[int, str] = attrs.field(factory=dict)
     allowed: dict[str, bool] = attrs.field(factory=dict)
     tickets: dict[str, tuple[str, float]] = attrs.field(factory=dict)
     asked_until_s: float = 0
@@ -86,10 +89,17 @@
         """Tell whether all tasks are done."""
         return self.done_count >= self.step.task_count
 
+    @property
+    def has_history(self) -> bool:
+        """Tell whether any task was ever placed or has ended."""
+        has_all = len(self.waiting) == self.step.task_count
+        return not has_all or any(task.failure_count for task in self.tasks)
+
     @property
     def running_count(self) -> int:
         """Return the number of tasks that have a run."""
-        return self.step.task_count - self.done_count - len(self.waiting)
+        idle_count = len(self.waiting) + len(self.held)
+        return self.step.task_count - self.done_count - idle_count
 
     def key_of(self, index: int) -> TaskKey:
         """Return the identity of a task."""
@@ -104,6 +114,10 @@
         """Return a number above those of all runs of the stage."""
         return 1 + max(task.attempt_count for task in self.tasks)
 
+    def held_on(self, worker_id: str) -> list[int]:
+        """Return the tasks that are held for a worker."""
+        return [index for index, held in self.held.items() if held == worker_id]
+
     def finish(self, index: int) -> None:
         """Note that a task is done."""
         task = self.tasks[index]
@@ -125,6 +139,7 @@
                 for index, task in enumerate(self.tasks)
                 if task.failure_count
             },
+            placed=self._places(),
         )
 
     def restore(self, record: StageRecord) -> None:
@@ -134,6 +149,16 @@
             self.finish(index)
         for failed, count in record.failures.items():
             self.tasks[failed].failure_count = count
+        for index, worker_id in record.placed.items():
+            self.waiting.discard(index)
+            self.held[index] = worker_id
+
+    def _places(self) -> dict[int, str]:
+        placed = dict(self.held)
+        for index, task in enumerate(self.tasks):
+            if task.run is not None and not task.is_done:
+                placed[index] = task.run.worker_id
+        return placed
 
 
 @attrs.define(slots=True, kw_only=True, eq=False)
@@ -230,8 +255,7 @@
             stages={
                 f'{occurrence}.{number}': stage.record()
                 for (occurrence, number), stage in self.stages.items()
-                if stage.done_count
-                or any(task.failure_count for task in stage.tasks)
+                if stage.has_history
             },
         )
 
--- a/packages/currantreach-jobs/src/currantreach_jobs/_records.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_records.py
@@ -69,16 +69,18 @@
 
 @attrs.frozen(slots=True, kw_only=True)
 class StageRecord:
-    """Ends of the tasks of one step of one occurrence.
+    """Ends and places of the tasks of one step of one occurrence.
 
     :ivar is_done: whether all tasks are done.
     :ivar done: indices of the tasks that are done, if not all are.
     :ivar failures: failed runs by the index of the task.
+    :ivar placed: worker on which a task that is not done may run.
     """
 
     is_done: bool = False
     done: tuple[int, ...] = ()
     failures: dict[int, int] = attrs.field(factory=dict)
+    placed: dict[int, str] = attrs.field(factory=dict)
 
 
 @attrs.frozen(slots=True, kw_only=True)
--- a/packages/currantreach-jobs/src/currantreach_jobs/_rooms.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_rooms.py
@@ -9,6 +9,7 @@
 
 from currantreach_jobs._model import TaskKey, WorkerReport
 from currantreach_jobs._progress import Run
+from currantreach_telemetry import log_event
 from currantreach_types import Resources
 
 if TYPE_CHECKING:
@@ -18,7 +19,10 @@
 
 __all__ = ('TeamUse', 'WorkerRoom', 'taken_room', 'whole_room_count')
 
-_NOTHING = Resources()
+# Three different jobs in a row fail on a sound worker once in some thousand
+# times, as one task in twenty fails by its own fault.
+_FAILURE_STREAK = 3
+_FAILURE_PAUSE_S = 4
 
 
 def taken_room(step: Step) -> Resources:
@@ -77,6 +81,18 @@
         if self.runs.pop((run.task, run.attempt), None) is not None:
             self.free += taken_room(run.stage.step)
 
+    def note_failure(self, job_id: str, now_s: float) -> None:
+        """Note a failed run; pause the worker after a streak of failures."""
+        self.failed_jobs.add(job_id)
+        if len(self.failed_jobs) >= _FAILURE_STREAK:
+            self.failed_jobs.clear()
+            self.failing_until_s = now_s + _FAILURE_PAUSE_S
+            log_event(
+                'worker_paused',
+                worker=self.report.worker_id,
+                for_s=_FAILURE_PAUSE_S,
+            )
+
     def update(self, report: WorkerReport) -> None:
         """Take over a newer report of the same worker."""
         self.free = self.free + report.room - self.report.room
@@ -103,11 +119,7 @@
     """What each team has running, against its limit."""
 
     def __init__(self) -> None:
-        """Start with nothing in use.
-
-        :ivar unknown: room of workers whose runs are not known yet.
-        """
-        self.unknown = _NOTHING
+        """Start with nothing in use."""
         self._used: dict[str, Resources] = collections.defaultdict(Resources)
 
     def add(self, team: str, taken: Resources) -> None:
@@ -126,7 +138,7 @@
         """Return how many more tasks of a step the team may run."""
         if team is None:
             return step.task_count
-        used = self._used[team.name] + self.unknown
+        used = self._used[team.name]
         needed = step.needed
         counts = [
             (limit - have) // need
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from currantreach_jobs._model import EndKind, StartAnswer, StartOrder
+from currantreach_jobs._progress import RunPhase
 from currantreach_telemetry import log_event
 from currantreach_types.errors import PlatformError, WorkerUnavailableError
 
@@ -203,6 +204,8 @@
             self._adopt(reply, now_s)
         if self.is_adopted:
             self._note_ends(reply, is_new)
+            if is_new:
+                self._board.settle_worker(self.worker_id)
             self._compare(reply, sent_at_s)
 
     def _note_birth(self, reply: HoldReply) -> None:
@@ -292,42 +295,54 @@
             return
         noted = self._noted_through
         born = self._born_unix_ms
+        if await self._is_written() and born == self._born_unix_ms:
+            self._acked_through = noted
+
+    async def _is_written(self) -> bool:
+        """Wait for a while until all that was noted is in the store."""
         try:
             await asyncio.wait_for(self._flush(), _UNWRITTEN_PAUSE_S)
         except (TimeoutError, PlatformError) as error:
-            log_event('ends_unwritten', worker=self.worker_id, error=error)
-            return
-        if born == self._born_unix_ms:
-            self._acked_through = noted
+            log_event('unwritten', worker=self.worker_id, error=error)
+            return False
+        return True
 
     async def _start(self, run: Run, ticket: str) -> None:
+        # A successor has to know where each task may run.
+        if not await self._is_written():
+            self._board.refuse(run, 'unwritten')
+            return
         is_unsure = False
         for _ in range(_START_TRIES):
             now_s = self._clock.now_s()
-            if run.settled_at_s or not self._tenure.may_start(now_s):
+            is_wanted = run.phase is RunPhase.STARTING
+            if not (is_wanted and self._tenure.may_start(now_s)):
                 break
             try:
                 answer = await self._port.start(self._order(run, ticket, now_s))
             except WorkerUnavailableError:
                 await asyncio.sleep(_RETRY_S / _START_TRIES)
-                continue
             except PlatformError:
                 is_unsure = True
-                continue
-            self._note_answer(run, answer, is_unsure)
-            return
-        if is_unsure:
-            log_event(
-                'start_unsure',
-                job=run.task.job_id,
-                step=run.task.step,
-                task=run.task.index,
-                attempt=run.attempt,
-                worker=self.worker_id,
-            )
-            self._board.stop(run)
-        elif not run.settled_at_s:
+            else:
+                self._note_answer(run, answer, is_unsure)
+                return
+        self._give_up(run, is_unsure)
+
+    def _give_up(self, run: Run, is_unsure: bool) -> None:
+        """Note that a start got no answer."""
+        if not is_unsure:
             self._board.refuse(run, 'unreachable')
+            return
+        log_event(
+            'start_unsure',
+            job=run.task.job_id,
+            step=run.task.step,
+            task=run.task.index,
+            attempt=run.attempt,
+            worker=self.worker_id,
+        )
+        self._board.stop(run)
 
     def _order(self, run: Run, ticket: str, now_s: float) -> StartOrder:
         task = run.stage.tasks[run.task.index]
--- a/packages/currantreach-jobs/tests/test_takeovers.py
+++ b/packages/currantreach-jobs/tests/test_takeovers.py
@@ -214,3 +214,32 @@
         assert not fleet.overfilled
 
     play(scenario)
+
+
+def test_silent_worker_delays_only_its_own_tasks(play, job, wait_until):
+    """After a takeover a silent worker must not hold up all other tasks.
+
+    Every task that was open at a takeover waited for the leases of every
+    worker that could not be reached, 12 s in a cut failure domain.
+    """
+    half = Resources(cpu_milli=16000, memory_mib=1000)
+
+    async def scenario(fleet, site):
+        silent = fleet.add('w1')
+        fleet.work_s = 1
+        first = site.start('a')
+        second = site.start('b')
+        await first.intake.submit(job('c' * 16, needed=half))
+        await wait_until(lambda: fleet.starts)
+        await first.intake.submit(job('d' * 16, needed=half))
+        silent.silent = True
+        fleet.add('w2')
+        deciding = first if first.master else second
+        other = second if first.master else first
+        deciding.kill()
+        await wait_until(lambda: other.master and other.master.is_ready)
+        await wait_until(lambda: len(fleet.starts) == 2, timeout_s=3)
+        assert fleet.starts[1][1].task.job_id == 'd' * 16
+        await wait_until(lambda: states(other)['c' * 16] == 'complete', 60)
+
+    play(scenario)
--- a/packages/currantreach-types/src/currantreach_types/__init__.py
+++ b/packages/currantreach-types/src/currantreach_types/__init__.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from currantreach_types._clock import Clock, ManualClock, MonotonicClock
+from currantreach_types._clock import (
+    Clock,
+    ManualClock,
+    MonotonicClock,
+    unix_now_ms,
+)
 from currantreach_types._codec import (
     decode_json,
     decode_packed,
@@ -59,4 +64,5 @@
     'encode_packed',
     'new_request_id',
     'task_id',
+    'unix_now_ms',
 )
--- a/packages/currantreach-types/src/currantreach_types/_clock.py
+++ b/packages/currantreach-types/src/currantreach_types/_clock.py
@@ -5,7 +5,9 @@
 import abc
 import time
 
-__all__ = ('Clock', 'ManualClock', 'MonotonicClock')
+__all__ = ('Clock', 'ManualClock', 'MonotonicClock', 'unix_now_ms')
+
+_NS_PER_MS = 1000000
 
 
 class Clock(abc.ABC):
@@ -38,3 +40,8 @@
     def advance(self, step_s: float) -> None:
         """Move the clock forward by ``step_s`` seconds."""
         self._now_s += step_s
+
+
+def unix_now_ms() -> int:
+    """Return the time of day in milliseconds since 1970."""
+    return time.time_ns() // _NS_PER_MS
