--- a/packages/currantreach-jobs/src/currantreach_jobs/_board.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_board.py
@@ -237,12 +237,9 @@
 
         A worker leaves the record of the fleet only after all its leases.
         """
-        held = {
-            worker_id
-            for progress in self.open_jobs.values()
-            for stage in progress.stages.values()
-            for worker_id in stage.held.values()
-        }
+        held: set[str] = set()
+        for progress in self.open_jobs.values():
+            held |= progress.held_workers()
         for gone in held - set(self.rooms):
             self.settle_worker(gone)
 
@@ -309,10 +306,6 @@
             and not progress.has_started
         )
 
-    def forget_job(self, job_id: str) -> None:
-        """Forget a job that ended long ago."""
-        self.jobs.pop(job_id, None)
-
     def _note_done(
         self,
         stage: Stage,
--- a/packages/currantreach-jobs/src/currantreach_jobs/_master.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_master.py
@@ -384,7 +384,7 @@
         except PlatformError as error:
             log_event('job_unremoved', job=job_id, error=error)
             return
-        self.board.forget_job(job_id)
+        self.board.jobs.pop(job_id, None)
         self._committer.forget(job_id)
 
     async def _close(self, keeping: asyncio.Task[None]) -> None:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -220,6 +220,13 @@
                 if self.is_unlocked(stage):
                     yield stage
 
+    def held_workers(self) -> set[str]:
+        """Return the workers for whose lists tasks are held back."""
+        workers: set[str] = set()
+        for stage in self.stages.values():
+            workers.update(stage.held.values())
+        return workers
+
     def is_worthless(self, now_s: float) -> bool:
         """Tell whether the job is too late to be worth anything."""
         age_s = now_s - self.accepted_at_s
