Send no order for a run that is over

Change: a run that was given up is marked, and its order is not sent; a run that a worker still lists after a silence proves its lease. Two tests failed before.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_board.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_board.py
@@ -158,6 +158,8 @@
 
     def confirm(self, run: Run) -> None:
         """Note that a worker has started a run."""
+        if run.phase is RunPhase.OVER:
+            return
         run.settled_at_s = self._clock.now_s()
         if run.phase is RunPhase.STARTING:
             run.phase = RunPhase.RUNNING
@@ -181,7 +183,7 @@
 
     def stop(self, run: Run) -> None:
         """Ask for a run to be stopped."""
-        if run.phase is not RunPhase.STOPPING:
+        if run.phase not in {RunPhase.STOPPING, RunPhase.OVER}:
             run.phase = RunPhase.STOPPING
             run.settled_at_s = 0
             self.to_stop.append(run)
@@ -413,6 +415,8 @@
         if room is None or (run.task, run.attempt) not in room.runs:
             return
         room.remove(run)
+        # An order that was not sent yet must not be sent any more.
+        run.phase = RunPhase.OVER
         self.teams.remove(run.stage.owner.job.team, run.stage.step.needed)
         stage = run.stage
         task = stage.tasks[run.task.index]
--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -26,6 +26,7 @@
     STARTING = 'starting'
     RUNNING = 'running'
     STOPPING = 'stopping'
+    OVER = 'over'
 
 
 @attrs.define(slots=True, kw_only=True, eq=False)
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -197,6 +197,11 @@
             return
         if self._is_silent:
             log_event('worker_answers', worker=self.worker_id)
+            # What still runs proves that the lease has not run out.
+            self._sure_deadline_ms = max(
+                self._sure_deadline_ms,
+                reply.clock_ms + _FIRST_LEASE_MS,
+            )
         self._is_silent = False
         self.is_lost = False
         is_new = not self.is_adopted
--- /dev/null
+++ b/packages/currantreach-jobs/tests/test_worker_session.py
@@ -0,0 +1,144 @@
+"""Orders to one worker beside changes of what is believed of it."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+import pytest
+
+from currantreach_jobs import HoldReply, JobSettings, RunningRun, StartAnswer
+from currantreach_jobs._board import Board
+from currantreach_jobs._terms import Tenure
+from currantreach_jobs._worker_session import WorkerSession
+from currantreach_types import ManualClock
+from currantreach_types.errors import LostAnswerError
+
+
+class ScriptedPort:
+    """Port that answers holds from a list and keeps all orders."""
+
+    def __init__(self):
+        self.starts = []
+        self.stops = []
+        self.holds = []
+        self.replies = []
+
+    async def start(self, order):
+        self.starts.append(order)
+        return StartAnswer.STARTED
+
+    async def stop(self, task, attempt, token):
+        self.stops.append((task, attempt))
+        return True
+
+    async def hold(self, token, acked_through, worker_deadline_ms, wait_s):
+        self.holds.append((acked_through, worker_deadline_ms, wait_s))
+        reply = self.replies.pop(0)
+        if isinstance(reply, Exception):
+            raise reply
+        return reply
+
+    async def close(self):
+        """Nothing is open."""
+
+
+@attrs.define
+class Bench:
+    """A session, its board and its port."""
+
+    clock: ManualClock
+    board: Board
+    port: ScriptedPort
+    session: WorkerSession
+    written: asyncio.Event
+
+    async def hold(self, reply):
+        """Play one hold."""
+        self.port.replies.append(reply)
+        sent_at_s = self.clock.now_s()
+        try:
+            found = await self.session._hold(sent_at_s)
+        except LostAnswerError as error:
+            self.session._note_silence(error)
+            return
+        self.session._absorb(found, sent_at_s)
+
+
+@pytest.fixture
+async def bench(reports):
+    """Return a session with an adopted worker."""
+    clock = ManualClock(100)
+    board = Board(clock, lambda _: None, lambda: None)
+    board.add_worker(reports[0])
+    written = asyncio.Event()
+    written.set()
+    port = ScriptedPort()
+    session = WorkerSession(
+        'w1',
+        port,
+        board,
+        Tenure(epoch=1, revision=1, valid_until_s=1000, began_at_s=100),
+        JobSettings(),
+        clock,
+        written.wait,
+    )
+    made = Bench(clock, board, port, session, written)
+    await made.hold(HoldReply(clock_ms=1000, born_unix_ms=1))
+    yield made
+    await session.close()
+
+
+async def test_lost_run_is_not_ordered(bench, job):
+    """A run that is over must not be ordered once its record is written.
+
+    Its task had been started elsewhere, and ran twice.
+    """
+    bench.board.add_job(job('0' * 16))
+    stage = bench.board.jobs['0' * 16].stages[0, 0]
+    run = bench.board.begin(stage, 0, 'w1', 1)
+    bench.written.clear()
+    bench.session.start(run, '')
+    await asyncio.sleep(0)
+    bench.board.lose_run(run)
+    bench.written.set()
+    await asyncio.sleep(0.01)
+    assert not bench.port.starts
+    assert stage.waiting == {0}
+
+
+async def test_running_task_proves_the_lease(bench, job):
+    """A worker that answers with a run has lost no lease.
+
+    The next answer came after the run had ended, and was taken for one
+    after a lapsed lease: an end that counted was not credited.
+    """
+    bench.board.add_job(job('1' * 16))
+    stage = bench.board.jobs['1' * 16].stages[0, 0]
+    run = bench.board.begin(stage, 0, 'w1', 1)
+    bench.board.confirm(run)
+    listed = RunningRun(task=run.task, attempt=1)
+    await bench.hold(
+        HoldReply(clock_ms=1100, born_unix_ms=1, running=(listed,))
+    )
+    await bench.hold(LostAnswerError('silent'))
+    bench.clock.advance(6)
+    late = HoldReply(clock_ms=7100, born_unix_ms=1, running=(listed,))
+    await bench.hold(late)
+    assert bench.board.rooms['w1'].is_usable
+    bench.clock.advance(0.01)
+    await bench.hold(attrs.evolve(late, clock_ms=7110))
+    assert bench.port.holds[-1][1] > 7110
+
+
+async def test_ends_after_a_lapse_do_not_count(bench, job):
+    """Ends listed by a worker whose lease ran out are void."""
+    bench.board.add_job(job('2' * 16))
+    stage = bench.board.jobs['2' * 16].stages[0, 0]
+    run = bench.board.begin(stage, 0, 'w1', 1)
+    bench.board.confirm(run)
+    await bench.hold(LostAnswerError('silent'))
+    bench.clock.advance(20)
+    await bench.hold(HoldReply(clock_ms=21000, born_unix_ms=1))
+    assert stage.waiting == {0}
+    assert not stage.done_count
