Serve counters and latencies of jobs; bound the log

Cause: the daemons on the platform counted refusals only, and a slow reader of the log could have blocked them.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_board.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_board.py
@@ -22,6 +22,7 @@
         WorkerReport,
     )
     from currantreach_jobs._records import ProgressRecord
+    from currantreach_telemetry import Metrics
     from currantreach_types import Clock, Resources
 
 __all__ = ('Board',)
@@ -39,6 +40,7 @@
         clock: Clock,
         mark_changed: Callable[[str], None],
         wake: Callable[[], None],
+        metrics: Metrics,
     ) -> None:
         """Start empty.
 
@@ -55,6 +57,7 @@
         self._clock = clock
         self._mark_changed = mark_changed
         self._wake = wake
+        self._metrics = metrics
 
     def take_stops(self) -> list[Run]:
         """Return the runs to be stopped and forget them."""
@@ -168,6 +171,7 @@
     def refuse(self, run: Run, reason: str) -> None:
         """Note that a worker certainly did not start a run."""
         stage = run.stage
+        self._metrics.retried(f'start_{reason}')
         log_event(
             'start_refused',
             job=run.task.job_id,
@@ -197,6 +201,7 @@
 
     def lose_run(self, run: Run) -> None:
         """Note that a run is over without an end that counts."""
+        self._metrics.retried('run_lost')
         log_event(
             'run_lost',
             job=run.task.job_id,
@@ -354,6 +359,7 @@
         if stage.step.is_gang:
             self.stop_stage(stage)
             failures = sum(member.failure_count for member in stage.tasks)
+        self._metrics.retried('run_failed')
         log_event(
             'run_failed',
             job=ended.task.job_id,
@@ -371,6 +377,7 @@
         progress.state = state
         self.open_jobs.pop(progress.job.job_id, None)
         progress.ended_unix_ms = unix_now_ms()
+        self._metrics.request_ended(progress.job.queue.name, state)
         log_event(
             'job_ended',
             job=progress.job.job_id,
--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -20,6 +20,7 @@
     from currantreach_jobs._model import Advice, SiteConfig
     from currantreach_jobs._progress import Run, Stage
     from currantreach_jobs._rooms import WorkerRoom
+    from currantreach_telemetry import Metrics
     from currantreach_types import Clock
 
 __all__ = ('Decider',)
@@ -42,6 +43,7 @@
         clock: Clock,
         launch: Callable[[Run, str], None],
         read_config: Callable[[], SiteConfig | None],
+        metrics: Metrics,
     ) -> None:
         """Prepare to decide.
 
@@ -53,6 +55,7 @@
         self._clock = clock
         self._launch = launch
         self._read_config = read_config
+        self._metrics = metrics
 
     def decide(self) -> None:
         """Start all that can be started now."""
@@ -67,6 +70,7 @@
         for stage in stages:
             if self._may_begin(stage, now_s):
                 self._try(stage, now_s)
+        self._metrics.decided(self._clock.now_s() - now_s)
 
     def _may_begin(self, stage: Stage, now_s: float) -> bool:
         if now_s < stage.retry_at_s:
@@ -143,16 +147,15 @@
             self._launch(run, code)
             if room.reserved_by is stage:
                 room.reserved_by = None
+        waited_s = self._clock.now_s() - stage.owner.accepted_at_s
+        self._metrics.waited(stage.owner.job.queue.name, waited_s)
         log_event(
             'stage_started',
             job=stage.owner.job.job_id,
             step=stage.number,
             tasks=len(assigned),
             left=len(stage.waiting),
-            waited_s=round(
-                self._clock.now_s() - stage.owner.accepted_at_s,
-                3,
-            ),
+            waited_s=round(waited_s, 3),
         )
 
     def _ask(
--- a/packages/currantreach-jobs/src/currantreach_jobs/_master.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_master.py
@@ -85,7 +85,12 @@
         self._clock = clock
         self._wake = asyncio.Event()
         self._committer = Committer(outside.store, tenure)
-        self.board = Board(clock, self._committer.mark, self._wake.set)
+        self.board = Board(
+            clock,
+            self._committer.mark,
+            self._wake.set,
+            outside.metrics,
+        )
         self._committer.jobs = self.board.jobs
         self._advisor = Advisor(cell, links, desk, clock, self._wake.set)
         self._decider = Decider(
@@ -94,6 +99,7 @@
             clock,
             self._launch,
             lambda: outside.source.config,
+            outside.metrics,
         )
         self._sessions: dict[str, WorkerSession] = {}
         self._session_tasks: dict[str, asyncio.Task[None]] = {}
--- a/packages/currantreach-jobs/src/currantreach_jobs/_ports.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_ports.py
@@ -12,6 +12,7 @@
     WorkerReport,
 )
 from currantreach_platform import TransactionalStore
+from currantreach_telemetry import Metrics
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -137,6 +138,7 @@
     """Everything outside the daemon.
 
     :ivar make_port: opens the connections to one worker.
+    :ivar metrics: counters and histograms of this process.
     """
 
     store: TransactionalStore
@@ -144,3 +146,4 @@
     source: ConfigSource
     advice: AdvicePort
     make_port: Callable[[WorkerReport], WorkerPort]
+    metrics: Metrics = attrs.field(factory=Metrics)
--- a/packages/currantreach-jobs/tests/test_overload.py
+++ b/packages/currantreach-jobs/tests/test_overload.py
@@ -14,8 +14,10 @@
 from currantreach_jobs._decider import Decider
 from currantreach_jobs._load import Load, measure, wait_before_retry_s
 from currantreach_jobs._pace import TeamPace
+from currantreach_telemetry import Metrics
 from currantreach_types import ManualClock, Resources
 
+METRICS = Metrics()
 WHOLE = Resources(cpu_milli=16000, memory_mib=1000)
 SMALL = Resources(cpu_milli=4000, memory_mib=1000)
 
@@ -26,13 +28,19 @@
     def __init__(self, fleet_config=None):
         self.clock = ManualClock(100)
         self.launched = []
-        self.board = Board(self.clock, lambda _: None, lambda: None)
+        self.board = Board(
+            self.clock,
+            lambda _: None,
+            lambda: None,
+            METRICS,
+        )
         self.decider = Decider(
             self.board,
             None,
             self.clock,
             lambda run, ticket: self.launched.append(run),
             lambda: fleet_config,
+            METRICS,
         )
 
     def add_workers(self, reports):
--- a/packages/currantreach-jobs/tests/test_worker_session.py
+++ b/packages/currantreach-jobs/tests/test_worker_session.py
@@ -11,6 +11,7 @@
 from currantreach_jobs._board import Board
 from currantreach_jobs._terms import Tenure
 from currantreach_jobs._worker_session import WorkerSession
+from currantreach_telemetry import Metrics
 from currantreach_types import ManualClock
 from currantreach_types.errors import LostAnswerError
 
@@ -69,7 +70,7 @@
 async def bench(reports):
     """Return a session with an adopted worker."""
     clock = ManualClock(100)
-    board = Board(clock, lambda _: None, lambda: None)
+    board = Board(clock, lambda _: None, lambda: None, Metrics())
     board.add_worker(reports[0])
     written = asyncio.Event()
     written.set()
--- a/packages/currantreach-telemetry/src/currantreach_telemetry/__init__.py
+++ b/packages/currantreach-telemetry/src/currantreach_telemetry/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from currantreach_telemetry._bounded import BoundedOutput
 from currantreach_telemetry._logs import (
     log_detail,
     log_event,
@@ -10,4 +11,11 @@
 )
 from currantreach_telemetry._metrics import Metrics
 
-__all__ = ('Metrics', 'log_detail', 'log_event', 'log_problem', 'open_log')
+__all__ = (
+    'BoundedOutput',
+    'Metrics',
+    'log_detail',
+    'log_event',
+    'log_problem',
+    'open_log',
+)
--- a/packages/currantreach-telemetry/src/currantreach_telemetry/_logs.py
+++ b/packages/currantreach-telemetry/src/currantreach_telemetry/_logs.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import sys
-from typing import TYPE_CHECKING, TextIO
+from typing import TYPE_CHECKING
 
 import logbook
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
+    from io import TextIOBase
 
 __all__ = ('log_detail', 'log_event', 'log_problem', 'open_log')
 
@@ -19,7 +20,7 @@
 )
 
 
-def open_log(level: str, stream: TextIO | None = None) -> None:
+def open_log(level: str, stream: TextIOBase | None = None) -> None:
     """Send all events from ``level`` upwards to a stream.
 
     :param stream: standard error if it is left out.
--- a/packages/currantreach-telemetry/src/currantreach_telemetry/_metrics.py
+++ b/packages/currantreach-telemetry/src/currantreach_telemetry/_metrics.py
@@ -37,6 +37,7 @@
             [reader],
             views=[
                 _histogram_view('currantreach_wait_seconds', _WAIT_BOUNDS_S),
+                _histogram_view('currantreach_call_seconds', _WAIT_BOUNDS_S),
                 _histogram_view(
                     'currantreach_decision_seconds',
                     _DECISION_BOUNDS_S,
@@ -49,6 +50,7 @@
         self._retries = self._meter.create_counter('currantreach_retries')
         self._ends = self._meter.create_counter('currantreach_request_ends')
         self._waits = self._meter.create_histogram('currantreach_wait_seconds')
+        self._calls = self._meter.create_histogram('currantreach_call_seconds')
         self._decisions = self._meter.create_histogram(
             'currantreach_decision_seconds',
         )
@@ -70,6 +72,11 @@
         """Record the waiting time of a request."""
         self._waits.record(waited_s, {'workload': self._label_of(workload)})
 
+    def answered(self, method: str, status: int, took_s: float) -> None:
+        """Record the duration of a caller's request."""
+        labels = {'method': method, 'status': str(status)}
+        self._calls.record(took_s, labels)
+
     def decided(self, round_s: float) -> None:
         """Record the duration of one round of decisions."""
         self._decisions.record(round_s)
