--- /dev/null
+++ b/bench/rounds.py
@@ -0,0 +1,55 @@
+"""Print the table of measured rounds from the journal of the users' bench.
+
+Run by ``python -m bench.rounds``.
+"""
+
+from __future__ import annotations
+
+import json
+import pathlib
+from typing import Any
+
+_JOURNAL = pathlib.Path('journal')
+_DAYS = ('quiet-1', 'trouble-1', 'scale-1', 'trouble-2', 'scale-2', 'trouble-3')
+
+
+def main() -> None:
+    """Print a row for each finished score."""
+    header = ['Entry', 'Site', 'Change', 'Score', *_DAYS, 'Rules broken']
+    print(_row(header))
+    print(_row(['---' for _ in header]))
+    for path in sorted(_JOURNAL.glob('*.json')):
+        entry = json.loads(path.read_text())
+        if entry['cmd'] == 'score' and entry['ok']:
+            print(_row(_cells(entry)))
+
+
+def _cells(entry: dict[str, Any]) -> list[str]:
+    days = {day['name']: day for day in entry['days']}
+    worth = [
+        format(days[name]['G'], '.3f') if name in days else '-'
+        for name in _DAYS
+    ]
+    broken = [
+        f'{day["name"]}: {rule} {count}'
+        for day in entry['days']
+        for rule, count in day['rules'].items()
+    ]
+    site = pathlib.PurePath(entry['argv'][0]).stem
+    score = format(entry['score'], '.3f')
+    return [
+        entry['id'],
+        site,
+        entry['why'],
+        score,
+        *worth,
+        '; '.join(broken) or 'none',
+    ]
+
+
+def _row(cells: list[str]) -> str:
+    return f'| {" | ".join(cells)} |'
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/currantreach-cli/src/currantreach_cli/_output.py
+++ b/packages/currantreach-cli/src/currantreach_cli/_output.py
@@ -15,6 +15,8 @@
 __all__ = ('ExitCode', 'judge', 'show', 'show_error')
 
 _INDENT: Final = '  '
+# Columns of a wide terminal; longer rows wrap and cannot be read.
+_WIDTH: Final = 120
 _EMPTY: Final[tuple[object, ...]] = (None, [], {})
 _CONFLICT: Final = 'conflict'
 _KEY_STATUSES: Final = frozenset((401, 403))
@@ -98,6 +100,8 @@
 def _list_lines(listed: Sequence[Any]) -> list[str]:
     if not all(isinstance(entry, dict) for entry in listed):
         return [_cell(entry) for entry in listed]
+    if _has_nested(listed):
+        return _blocks(listed)
     # A dict keeps the order in which the columns are first seen.
     columns = list({name: None for entry in listed for name in entry})
     rows = [columns]
@@ -105,9 +109,29 @@
         [_cell(entry.get(name)) for name in columns] for entry in listed
     )
     widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+    if sum(widths) + len(_INDENT) * len(widths) > _WIDTH:
+        return _blocks(listed)
     return [_aligned(row, widths) for row in rows]
 
 
+def _has_nested(listed: Sequence[Mapping[str, Any]]) -> bool:
+    return any(
+        isinstance(member, dict | list) and member
+        for entry in listed
+        for member in entry.values()
+    )
+
+
+def _blocks(listed: Sequence[Mapping[str, Any]]) -> list[str]:
+    """Return the entries one below the other, for rows that do not fit."""
+    lines: list[str] = []
+    for entry in listed:
+        first, *rest = _object_lines(entry) or ['-']
+        lines.append(f'- {first}')
+        lines.extend(f'{_INDENT}{line}' for line in rest)
+    return lines
+
+
 def _aligned(row: Sequence[str], widths: Sequence[int]) -> str:
     cells = zip(row, widths, strict=True)
     padded = (text.ljust(width) for text, width in cells)
