--- a/packages/currantreach-jobs/src/currantreach_jobs/_advisor.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_advisor.py
@@ -25,10 +25,13 @@
 # A call this long delays a short one that waits behind it by more than the
 # aim of a prompt job.
 _LONG_CALL_S = 0.2
+# A call that takes this much longer than the queue says has been lost.
 _TIMEOUT_S = 1.5
 # A call may be sent this long before the service is expected to take it,
 # which covers the way there.
 _QUEUED_S = 0.02
+# A daemon whose call failed is asked again after this time; a cut lasts for
+# seconds.
 _SUSPECT_S = 3
 # Time that a ticket loses on its way to the worker.
 _TICKET_SLACK_S = 0.15
--- a/packages/currantreach-jobs/src/currantreach_jobs/_cell.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_cell.py
@@ -38,8 +38,11 @@
 
 __all__ = ('Cell', 'shared_secret')
 
+# As long as the digest that authenticates a frame.
 _SECRET_BYTES = 32
+# Pause after a failed call, a small part of the shortest outage.
 _RETRY_S = 0.3
+# A connection that went silent is noticed this late.
 _WATCH_S = 2
 # A view that is older than two watches says nothing of the present.
 _FRESH_S = 4
--- a/packages/currantreach-jobs/src/currantreach_jobs/_commits.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_commits.py
@@ -21,6 +21,7 @@
 
 __all__ = ('Committer',)
 
+# Ends wait at the workers meanwhile; the store may be back at any moment.
 _RETRY_S = 0.1
 
 
--- a/packages/currantreach-jobs/src/currantreach_jobs/_daemon.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_daemon.py
@@ -34,8 +34,11 @@
 
 __all__ = ('JobDaemon',)
 
+# Enough that two lives of a process on one host differ.
 _ID_BYTES = 3
+# Links to daemons that are gone cost a little memory until then.
 _CLEAN_S = 5
+# An exchange across failure domains takes some 40 ms, set-up included.
 _ASK_S = 0.5
 # A daemon that hears nothing of the store for this long sends new callers
 # elsewhere; its watches return once a second.
--- a/packages/currantreach-jobs/src/currantreach_jobs/_feed.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_feed.py
@@ -25,7 +25,9 @@
 
 __all__ = ('AcceptedJobs', 'JobFeed', 'read_jobs', 'read_progress')
 
+# A connection that went silent is noticed this late.
 _WATCH_S = 2
+# Pause after a failed call, a small part of the shortest outage.
 _RETRY_S = 0.2
 
 
--- a/packages/currantreach-jobs/src/currantreach_jobs/_intake.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_intake.py
@@ -53,6 +53,7 @@
 
 __all__ = ('Intake', 'Outcome', 'Verdict', 'reply_of')
 
+# An exchange across failure domains takes some 40 ms, set-up included.
 _ASK_S = 0.6
 # The backlog changes by little within this time.
 _LOAD_S = 0.5
@@ -62,7 +63,9 @@
 _REJECTED_S = 0.5
 # Pause between two tries of a daemon that reaches neither store nor peers.
 _ISOLATED_S = 0.5
+# A lost answer is repeated this often; more would outlast a caller.
 _WRITE_TRIES = 3
+# Pause after a refused repetition, so that the store is not pressed.
 _RETRY_S = 0.1
 # The store is asked again after about this time when it turned a call away.
 _STORE_RETRY_S = 1
--- a/packages/currantreach-jobs/src/currantreach_jobs/_links.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_links.py
@@ -12,6 +12,7 @@
 
 __all__ = ('Links',)
 
+# A link that is silent for this long is opened anew.
 _PEER_TIMEOUT_S = 1
 
 _Answered = TypeVar('_Answered')
--- a/packages/currantreach-jobs/src/currantreach_jobs/_master.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_master.py
@@ -49,7 +49,9 @@
 _ROUND_S = 0.01
 # Tickets and pauses run out without an event.
 _IDLE_ROUND_S = 0.1
+# Pause after a failed write of the fleet; no new worker is used meanwhile.
 _RETRY_S = 0.2
+# Ended jobs are removed this late, a small part of the time they are kept.
 _SWEEP_S = 5
 # A host that leads for want of a stronger one looks for one this often.
 _LEAVE_S = 4
--- a/packages/currantreach-jobs/src/currantreach_jobs/_rooms.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_rooms.py
@@ -22,6 +22,8 @@
 # Three different jobs in a row fail on a sound worker once in some thousand
 # times, as one task in twenty fails by its own fault.
 _FAILURE_STREAK = 3
+# A faulty worker is tried again after this time, as such faults last for
+# seconds.
 _FAILURE_PAUSE_S = 4
 
 
--- a/packages/currantreach-jobs/src/currantreach_jobs/_terms.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_terms.py
@@ -10,7 +10,9 @@
 
 # A host of this size keeps up with the lead of the largest deployment.
 _LEADER_CORES = 2
+# Bandwidth at which reading some thousand jobs takes well under a second.
 _LEADER_MBPS = 100
+# Bound of the strength, so that the delay stays finite.
 _WEAKEST = 0.01
 # A stronger host that lives takes the lead within this time.
 _DELAY_STEP_S = 0.3
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -24,8 +24,11 @@
 __all__ = ('WorkerSession',)
 
 _MS_PER_S = 1000
+# Pause between two tries to reach a worker, a small part of its lease.
 _RETRY_S = 0.3
+# A commit takes some 15 ms; after this long the store is slow or away.
 _UNWRITTEN_PAUSE_S = 0.3
+# With a deadline of 0.6 s each, the tries fit into the wait of a gang.
 _START_TRIES = 3
 # The lease is extended this soon after a worker was adopted.
 _FIRST_LEASE_MS = 1000
