--- a/packages/currantreach-jobs/src/currantreach_jobs/_load.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_load.py
@@ -42,10 +42,12 @@
 
 def measure(board: Board, now_s: float) -> Load:
     """Return the present load of the fleet."""
+    # Workers that do not answer yet count as well: right after a takeover
+    # most of them are adopted within moments.
     core_count = sum(
         room.report.room.cpu_milli / _MILLI
         for room in board.rooms.values()
-        if room.is_usable and not room.report.is_draining
+        if room.is_listed and not room.report.is_draining
     )
     urgent_core_s: float = 0
     share_core_s: float = 0
--- a/packages/currantreach-jobs/tests/test_overload.py
+++ b/packages/currantreach-jobs/tests/test_overload.py
@@ -171,3 +171,17 @@
     )
     assert not wait_before_retry_s(load, batch)
     assert wait_before_retry_s(load, attrs.evolve(batch, team='flood')) > 0
+
+
+def test_takeover_is_no_overload(table, job):
+    """Workers that a new leader has not adopted yet are no lack of room.
+
+    Jobs were refused for a backlog of 52 s while the workers were free.
+    """
+    table.board.rooms['w1'].is_usable = False
+    table.board.rooms['w2'].is_usable = False
+    for number in range(4):
+        table.board.add_job(job(f'l{number}', needed=WHOLE, estimate_s=2))
+    assert measure(table.board, 100).share_wait_s == pytest.approx(4)
+    table.board.rooms['w1'].is_listed = False
+    assert measure(table.board, 100).share_wait_s == pytest.approx(8)
