Remove state and methods that nothing reads

Cause: since the places of tasks are written, nothing asks whether a job was inherited; three lookups had no caller either.

Change: JobProgress.is_inherited with its argument, Stage.running_count, TeamUse.used_by and SiteConfig.queue_named are gone. No change of behaviour; formatter, linter, type checker and 119 tests of the package and of tests/ pass.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_board.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_board.py
@@ -74,7 +74,6 @@
         job: Job,
         record: ProgressRecord | None = None,
         first_attempt: int = 0,
-        is_inherited: bool = False,
         weight: int = 0,
     ) -> None:
         """Add an accepted job.
@@ -87,7 +86,6 @@
         progress = JobProgress(
             job=job,
             first_attempt=first_attempt,
-            is_inherited=is_inherited,
             accepted_at_s=self._clock.now_s() - age_s,
         )
         progress.is_excess = self.pace.note(
--- a/packages/currantreach-jobs/src/currantreach_jobs/_master.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_master.py
@@ -200,10 +200,9 @@
                     accepted.jobs.pop(job_id),
                     record,
                     first_attempt,
-                    True,
                 )
         for job in accepted.jobs.values():
-            self.board.add_job(job, None, first_attempt, True)
+            self.board.add_job(job, None, first_attempt)
         for cancelled_id in accepted.cancelled:
             self.board.cancel(cancelled_id)
         await self._recover_fleet()
--- a/packages/currantreach-jobs/src/currantreach_jobs/_model.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_model.py
@@ -148,13 +148,6 @@
     guarded_services: frozenset[str] = frozenset()
     http: HttpLimits = attrs.field(factory=HttpLimits)
 
-    def queue_named(self, name: str) -> Queue | None:
-        """Return the queue of this name, if there is one."""
-        for queue in self.queues:
-            if queue.name == name:
-                return queue
-        return None
-
     def queue_at(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest matching prefix."""
         best: Queue | None = None
--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -98,12 +98,6 @@
         has_all = len(self.waiting) == self.step.task_count
         return not has_all or any(task.failure_count for task in self.tasks)
 
-    @property
-    def running_count(self) -> int:
-        """Return the number of tasks that have a run."""
-        idle_count = len(self.waiting) + len(self.held)
-        return self.step.task_count - self.done_count - idle_count
-
     def key_of(self, index: int) -> TaskKey:
         """Return the identity of a task."""
         return TaskKey(
@@ -169,7 +163,6 @@
     """State of an accepted job.
 
     :ivar first_attempt: number below that of the first run to be ordered.
-    :ivar is_inherited: whether an earlier owner may have started its tasks.
     :ivar accepted_at_s: estimate of the acceptance on this host's clock.
     :ivar is_excess: whether the job is beyond the share of its team.
     :ivar objective_s: time from the acceptance in which callers want the
@@ -179,7 +172,6 @@
 
     job: Job
     first_attempt: int
-    is_inherited: bool
     accepted_at_s: float
     state: JobState = JobState.QUEUED
     durable_state: JobState = JobState.QUEUED
--- a/packages/currantreach-jobs/src/currantreach_jobs/_rooms.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_rooms.py
@@ -132,10 +132,6 @@
         """Note that a run has ended."""
         self._used[team] -= freed
 
-    def used_by(self, team: str) -> Resources:
-        """Return what a team has running."""
-        return self._used[team]
-
     def room_for(self, team: Team | None, step: Step) -> int:
         """Return how many more tasks of a step the team may run."""
         if team is None:
