Hold the workers while a successor reads the jobs

The successor read 2,625 jobs with their payloads (1.7 s) before it spoke to a worker. By then it could not know whether the leases had run out since the listed ends, and its only clue, the time at which the earlier leader's record vanished, is no proof: leases of the store stand still while it is away.

Ended jobs keep no payload. A restarted daemon ends the record of a leader that was killed on its own host.

What binds now is the lease of a leader that is cut off.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_board.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_board.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from currantreach_jobs._model import EndKind, JobState
@@ -44,6 +45,7 @@
     ) -> None:
         """Start empty.
 
+        :ivar is_complete: set once all accepted jobs are known.
         :param mark_changed: called with the id of a job whose record has to
             be written.
         :param wake: called when something may be started or stopped.
@@ -54,6 +56,7 @@
         self.teams = TeamUse()
         self.pace = TeamPace()
         self.to_stop: list[Run] = []
+        self.is_complete = asyncio.Event()
         self._clock = clock
         self._mark_changed = mark_changed
         self._wake = wake
--- a/packages/currantreach-jobs/src/currantreach_jobs/_cell.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_cell.py
@@ -85,6 +85,7 @@
     def __init__(
         self,
         daemon_id: str,
+        host_name: str,
         address: str,
         store: TransactionalStore,
         settings: JobSettings,
@@ -92,9 +93,11 @@
     ) -> None:
         """Know nobody yet.
 
+        :param host_name: host of this daemon, on which no other one runs.
         :param address: address of the link server of this daemon.
         """
         self.daemon_id = daemon_id
+        self.host_name = host_name
         self.address = address
         self.members: dict[str, str] = {daemon_id: address}
         self.leader: LeaderRecord | None = None
@@ -107,7 +110,6 @@
         self._clock = clock
         self.lease_id = ''
         self._delays_s: dict[str, float] = {}
-        self._leader_end_s: float = 0
         self._changed = asyncio.Event()
         self._is_known = False
 
@@ -215,8 +217,21 @@
         self._is_known = True
         self.has_store_at_s = self._clock.now_s()
         self._changed.set()
+        await self._end_predecessor()
         return found.revision
 
+    async def _end_predecessor(self) -> None:
+        """Remove the record of a leader that was killed on this host.
+
+        Its lease would keep the lead vacant for two seconds more.
+        """
+        leader = self.leader
+        if leader is None or leader.host_name != self.host_name:
+            return
+        if leader.daemon_id != self.daemon_id and leader.lease_id:
+            log_event('predecessor_ended', daemon=leader.daemon_id)
+            await self._store.revoke_lease(leader.lease_id)
+
     def _note(self, found: KeyValue) -> None:
         if found.key == LEADER_KEY:
             try:
@@ -237,7 +252,6 @@
         if key == LEADER_KEY:
             log_event('leader_gone')
             self.leader = None
-            self._leader_end_s = self._clock.now_s()
         elif key.startswith(MEMBER_PREFIX):
             name = key.removeprefix(MEMBER_PREFIX)
             if name != self.daemon_id:
@@ -321,7 +335,6 @@
             revision=revision,
             valid_until_s=sent_at_s + lease_s,
             began_at_s=self._clock.now_s(),
-            previous_end_s=self._leader_end_s,
         )
 
     def _record(self, epoch: int) -> LeaderRecord:
@@ -329,6 +342,8 @@
             daemon_id=self.daemon_id,
             address=self.address,
             epoch=epoch,
+            host_name=self.host_name,
+            lease_id=self.lease_id,
         )
 
     def _claim(self, epoch: int) -> list[Write]:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_commits.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_commits.py
@@ -8,7 +8,12 @@
 
 import attrs
 
-from currantreach_jobs._records import LEADER_KEY, progress_key
+from currantreach_jobs._records import (
+    LEADER_KEY,
+    encode_ended_job,
+    job_key,
+    progress_key,
+)
 from currantreach_platform import Write
 from currantreach_telemetry import log_event, log_problem
 from currantreach_types import encode_packed
@@ -33,6 +38,10 @@
 # Changes wait this long for others to share a transaction, while one is under
 # way; a transaction takes some 15 ms on a calm day.
 _GROUP_S = 0.04
+# A record takes an expected revision and a write; when a job ends, its job is
+# written as well.
+_ENTRIES_OF_OPEN = 2
+_ENTRIES_OF_ENDED = 3
 
 
 @attrs.frozen(slots=True, eq=False)
@@ -182,11 +191,8 @@
                 await self._wake.wait()
 
     def _send_batches(self) -> None:
-        # Each record takes an expected revision and a write; the leader's
-        # record takes one more entry.
-        size = (self._store.max_entries - 1) // 2
-        while self._may_send(size):
-            batch = tuple(self._queue)[:size]
+        while self._may_send():
+            batch = self._next_batch()
             for job_id in batch:
                 self._queue.pop(job_id)
                 self._entries[job_id].is_in_flight = True
@@ -194,13 +200,27 @@
             self._commits.add(commit)
             commit.add_done_callback(self._note_end)
 
-    def _may_send(self, size: int) -> bool:
+    def _next_batch(self) -> list[str]:
+        """Return the oldest changes that fit into one transaction."""
+        # The leader's record takes one entry of its own.
+        left = self._store.max_entries - 1
+        batch: list[str] = []
+        for job_id in self._queue:
+            is_final = self.jobs[job_id].state.is_final
+            left -= _ENTRIES_OF_ENDED if is_final else _ENTRIES_OF_OPEN
+            if left < 0:
+                break
+            batch.append(job_id)
+        return batch
+
+    def _may_send(self) -> bool:
         if not self._queue or len(self._commits) >= _MOST_IN_FLIGHT:
             return False
         now_s = self._clock.now_s()
         if now_s < self._paused_until_s:
             return False
-        if not self._commits or len(self._queue) >= size:
+        most = self._store.max_entries // _ENTRIES_OF_OPEN
+        if not self._commits or len(self._queue) >= most:
             return True
         oldest = self._entries[next(iter(self._queue))]
         return now_s >= oldest.changed_at_s + _GROUP_S
@@ -239,13 +259,15 @@
             self._land(job_id)
 
     def _writes_of(self, batch: Sequence[str]) -> list[Write]:
-        return [
-            Write(
-                key=progress_key(job_id),
-                stored=encode_packed(self.jobs[job_id].record()),
-            )
-            for job_id in batch
-        ]
+        writes: list[Write] = []
+        for job_id in batch:
+            progress = self.jobs[job_id]
+            record = encode_packed(progress.record())
+            writes.append(Write(key=progress_key(job_id), stored=record))
+            if progress.state.is_final and progress.job.steps:
+                ended = encode_ended_job(progress.job)
+                writes.append(Write(key=job_key(job_id), stored=ended))
+        return writes
 
     def _land(self, job_id: str) -> None:
         """Queue a job again that changed or failed while in flight."""
--- a/packages/currantreach-jobs/src/currantreach_jobs/_daemon.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_daemon.py
@@ -68,6 +68,7 @@
         self._clock = clock
         self._cell = Cell(
             self.daemon_id,
+            host_name,
             link_address,
             outside.store,
             settings,
--- a/packages/currantreach-jobs/src/currantreach_jobs/_records.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_records.py
@@ -18,23 +18,28 @@
     'FLEET_KEY',
     'JOB_PREFIX',
     'LEADER_KEY',
+    'LEASES_KEY',
     'MEMBER_PREFIX',
     'PROGRESS_PREFIX',
     'SECRET_KEY',
     'FleetRecord',
     'LeaderRecord',
+    'LeaseRecord',
     'MemberRecord',
     'ProgressRecord',
     'StageRecord',
+    'WorkerLease',
     'cancel_key',
     'decode_job',
     'decode_progress',
+    'encode_ended_job',
     'encode_job',
     'job_key',
     'progress_key',
 )
 
 CELL_PREFIX: Final = 'cell/'
+LEASES_KEY: Final = 'keep/leases'
 LEADER_KEY: Final = 'cell/leader'
 MEMBER_PREFIX: Final = 'cell/members/'
 EPOCH_KEY: Final = 'keep/epoch'
@@ -50,11 +55,15 @@
     """The daemon that decides.
 
     :ivar epoch: fencing token of all its orders.
+    :ivar host_name: host of the daemon; a host runs one daemon at a time.
+    :ivar lease_id: store lease that the record is attached to.
     """
 
     daemon_id: str
     address: str
     epoch: int
+    host_name: str = ''
+    lease_id: str = ''
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -80,6 +89,29 @@
     workers: tuple[WorkerReport, ...] = ()
 
 
+@attrs.frozen(slots=True, kw_only=True)
+class WorkerLease:
+    """Lease of the runs on a worker, as it was confirmed last.
+
+    :ivar born_unix_ms: life of the worker that the lease belongs to.
+    :ivar deadline_ms: earliest end of the lease on the worker's own clock.
+    """
+
+    born_unix_ms: int
+    deadline_ms: int
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class LeaseRecord:
+    """Leases that a leader holds, by worker.
+
+    An end that a worker lists counts only while its lease has not run out. A
+    successor that reads the worker's clock before this deadline knows so.
+    """
+
+    leases: dict[str, WorkerLease] = attrs.field(factory=dict)
+
+
 @attrs.frozen(slots=True, kw_only=True)
 class StageRecord:
     """Ends and places of the tasks of one step of one occurrence.
@@ -129,6 +161,15 @@
     return encode_packed(job)
 
 
+def encode_ended_job(job: Job) -> bytes:
+    """Encode what is left of a job that has ended.
+
+    Its id must stay known, so that a repeated submission does not run again,
+    but a successor that reads all jobs need not read its payload.
+    """
+    return encode_packed(attrs.evolve(job, payload='', steps=()))
+
+
 def decode_job(stored: bytes) -> Job:
     """Decode an accepted job.
 
--- a/packages/currantreach-jobs/src/currantreach_jobs/_terms.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_terms.py
@@ -83,8 +83,6 @@
     :ivar revision: revision of the leader's record.
     :ivar valid_until_s: end of the lease, counted from before its renewal.
     :ivar began_at_s: time of the acquisition.
-    :ivar previous_end_s: time at which the earlier leader was seen to end, 0
-        if it was not seen.
     :ivar is_over: whether another daemon may have taken over.
     """
 
@@ -92,7 +90,6 @@
     revision: int
     valid_until_s: float
     began_at_s: float
-    previous_end_s: float = 0
     is_over: bool = False
 
     def may_start(self, now_s: float) -> bool:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING
 
 from currantreach_jobs._model import EndKind, StartAnswer, StartOrder
 from currantreach_jobs._progress import RunPhase
+from currantreach_jobs._records import WorkerLease
 from currantreach_telemetry import log_event
 from currantreach_types.errors import PlatformError, WorkerUnavailableError
 
@@ -38,9 +40,6 @@
 _FIRST_LEASE_MS = 1000
 # A worker lists this many ends at a time; a full list may be incomplete.
 _FULL_LIST = 500
-# An adoption this soon after the earlier leader ended comes before the
-# leases that it had extended run out.
-_SURE_ADOPTION_S = 1
 _CLOSED_LOG = 'worker_closed'
 
 
@@ -59,12 +58,15 @@
         settings: JobSettings,
         clock: Clock,
         written: Callable[[Sequence[str]], Awaitable[None]],
+        inherited: WorkerLease | None = None,
     ) -> None:
         """Prepare a session; :meth:`run` adopts and holds the worker.
 
         :param written: waits until all that was noted of some jobs is in
             the store.
+        :param inherited: lease that an earlier leader had noted.
         """
+        self._inherited = inherited
         self.worker_id = worker_id
         self.is_adopted = False
         self.is_lost = False
@@ -88,10 +90,22 @@
         # Ends listed after a lease ran out do not count; whether it ran out
         # is known from the worker's own clock.
         self._sure_deadline_ms = 0
+        self._confirmed_deadline_ms = 0
         self._latest_deadline_ms = 0
         self._void_until_s: float = 0
+        self._is_sure = False
         self._orders: set[asyncio.Task[None]] = set()
 
+    @property
+    def lease(self) -> WorkerLease | None:
+        """Return the lease that the worker has confirmed, if it is held."""
+        if not self._confirmed_deadline_ms:
+            return self._inherited
+        return WorkerLease(
+            born_unix_ms=self._born_unix_ms,
+            deadline_ms=self._confirmed_deadline_ms,
+        )
+
     async def run(self) -> None:
         """Hold the worker until this daemon's tenure is over."""
         settings = self._settings
@@ -128,13 +142,13 @@
         self._in_background(self._stop(run.task, run.attempt, run))
 
     async def _hold(self, now_s: float) -> HoldReply:
-        if self.is_adopted and self._clock_at(now_s) > self._sure_deadline_ms:
+        if self._is_sure and self._clock_at(now_s) > self._sure_deadline_ms:
             # This process was suspended for longer than the lease.
             self._is_silent = True
         has_unacked = self._noted_through > self._acked_through
         is_calm = self.is_adopted and not self._is_silent and not has_unacked
         deadline_ms = 0
-        if self.is_adopted and not self._is_silent:
+        if self._is_sure and not self._is_silent:
             deadline_ms = self._new_deadline_ms(now_s)
         reply = await self._port.hold(
             self._tenure.epoch,
@@ -143,6 +157,11 @@
             self._settings.hold_wait_s if is_calm else 0,
         )
         self._sure_deadline_ms = max(self._sure_deadline_ms, deadline_ms)
+        if deadline_ms and reply.born_unix_ms == self._born_unix_ms:
+            self._confirmed_deadline_ms = max(
+                self._confirmed_deadline_ms,
+                deadline_ms,
+            )
         return reply
 
     def _clock_at(self, now_s: float) -> int:
@@ -157,7 +176,7 @@
         left alone until every lease that was asked for has run out.
         """
         is_same_life = reply.born_unix_ms == self._born_unix_ms
-        if not self._is_silent or not self.is_adopted or not is_same_life:
+        if not self._is_silent or not self._is_sure or not is_same_life:
             return False
         if reply.running or reply.clock_ms <= self._sure_deadline_ms:
             return False
@@ -215,7 +234,9 @@
         self.is_lost = False
         is_new = not self.is_adopted
         if is_new:
-            self._adopt(reply, now_s)
+            self._check_ends(reply, now_s)
+            if self._is_sure and self._board.is_complete.is_set():
+                self._adopt(reply)
         if self.is_adopted:
             self._note_ends(reply, is_new)
             if is_new:
@@ -232,11 +253,14 @@
         self._born_unix_ms = reply.born_unix_ms
         self._noted_through = 0
         self._acked_through = 0
+        self._confirmed_deadline_ms = 0
         self._sure_deadline_ms = reply.clock_ms + _FIRST_LEASE_MS
         self._latest_deadline_ms = self._sure_deadline_ms
 
-    def _adopt(self, reply: HoldReply, now_s: float) -> None:
-        """Take over what runs, or wait until its ends can not count."""
+    def _check_ends(self, reply: HoldReply, now_s: float) -> None:
+        """Find out whether the listed ends count, or wait until none can."""
+        if self._is_sure:
+            return
         if self._void_until_s:
             if now_s < self._void_until_s:
                 return
@@ -244,12 +268,17 @@
                 (ended.number for ended in reply.ended),
                 default=0,
             )
-        elif not self._has_sure_ends(reply, now_s):
-            self._void_until_s = now_s + self._settings.longest_lease_s
-            log_event('worker_ends_unsure', worker=self.worker_id)
+        elif not self._has_sure_ends(reply):
+            if self._board.is_complete.is_set():
+                self._void_until_s = now_s + self._settings.longest_lease_s
+                log_event('worker_ends_unsure', worker=self.worker_id)
             return
-        self.is_adopted = True
+        self._is_sure = True
         self._sure_deadline_ms = reply.clock_ms + _FIRST_LEASE_MS
+
+    def _adopt(self, reply: HoldReply) -> None:
+        """Take over what runs."""
+        self.is_adopted = True
         for found in reply.running:
             self._board.adopt(self.worker_id, found)
         log_event(
@@ -259,21 +288,24 @@
             ended=len(reply.ended),
         )
 
-    def _has_sure_ends(self, reply: HoldReply, now_s: float) -> bool:
+    def _is_before(self, reply: HoldReply, lease: WorkerLease | None) -> bool:
+        if lease is None or reply.born_unix_ms != lease.born_unix_ms:
+            return False
+        return reply.clock_ms < lease.deadline_ms
+
+    def _has_sure_ends(self, reply: HoldReply) -> bool:
         """Tell whether no lease ran out since the listed ends.
 
         An end counts only if the lease has not run out since. A run that is
-        still there proves that, and so does a quick takeover.
+        still there proves that, and so does a clock before the end of the
+        lease that an earlier leader had noted.
         """
-        has_unsure = any(
-            ended.kind is EndKind.DONE
-            and self._board.stage_of(ended.task) is not None
-            for ended in reply.ended
-        )
-        if reply.running or not has_unsure:
+        if reply.running or self._is_before(reply, self._inherited):
             return True
-        previous_s = self._tenure.previous_end_s
-        return bool(previous_s) and now_s < previous_s + _SURE_ADOPTION_S
+        done = [end for end in reply.ended if end.kind is EndKind.DONE]
+        if not self._board.is_complete.is_set():
+            return not done
+        return not any(self._board.stage_of(end.task) for end in done)
 
     def _note_ends(self, reply: HoldReply, is_new: bool) -> None:
         for ended in reply.ended:
@@ -305,7 +337,7 @@
     async def _acknowledge(self) -> None:
         """Let the worker forget ends once they are in the store."""
         if not self.is_adopted:
-            await asyncio.sleep(_RETRY_S)
+            await self._wait_for_board()
         if self._noted_through == self._acked_through:
             return
         noted = self._noted_through
@@ -316,6 +348,15 @@
             self._acked_through = noted
             self._unwritten_jobs.difference_update(jobs)
 
+    async def _wait_for_board(self) -> None:
+        """Wait before the next try to adopt the worker."""
+        if self._board.is_complete.is_set():
+            await asyncio.sleep(_RETRY_S)
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_RETRY_S):
+                await self._board.is_complete.wait()
+
     async def _is_written(
         self,
         job_ids: Sequence[str],
--- a/packages/currantreach-jobs/tests/conftest.py
+++ b/packages/currantreach-jobs/tests/conftest.py
@@ -78,7 +78,8 @@
     """Store with leases on virtual time.
 
     ``is_down`` refuses every call, ``lost`` counts commits that take effect
-    without an answer, ``delay_s`` is the time that a call takes.
+    without an answer, ``delay_s`` is the time that a call takes, and
+    ``list_delay_s`` what a list of keys takes beyond it.
     """
 
     max_entries = 32
@@ -91,6 +92,7 @@
         self.revision = 1
         self.is_down = False
         self.delay_s = 0.004
+        self.list_delay_s = 0
         self.lost = 0
         self.numbers = itertools.count(1)
         self.changed = asyncio.Event()
@@ -101,6 +103,7 @@
 
     async def list_prefix(self, prefix):
         await self._enter()
+        await asyncio.sleep(self.list_delay_s)
         return WatchResult(
             revision=self.revision,
             changed=tuple(
@@ -635,12 +638,14 @@
         self.fleet = fleet
         self.hosts = {}
         self.settings = JobSettings()
+        self.numbers = itertools.count(1)
 
     def start(self, name):
         """Start a daemon."""
         fleet = self.fleet
         store = OwnStore(fleet.store)
-        cell = Cell(name, name, store, self.settings, fleet.clock)
+        daemon_id = f'{name}-{next(self.numbers)}'
+        cell = Cell(daemon_id, name, name, store, self.settings, fleet.clock)
         links = FakeLinks(self)
         host = Host(fleet, cell, None, [], store)
 
--- /dev/null
+++ b/packages/currantreach-jobs/tests/test_restarts.py
@@ -0,0 +1,155 @@
+"""Takeovers after kills: how soon a successor decides, and what it trusts.
+
+Pattern: many daemons are killed or lose power at once in the middle of a
+day, with thousands of jobs in the store.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+
+from currantreach_jobs import Outcome
+from currantreach_jobs._records import decode_job, job_key
+
+_PAGE_S = 1.5
+BIG = 4000
+
+
+def test_restarted_leader_ends_its_own_record(play, job, wait_until):
+    """The lead stayed vacant until the lease of a dead process ran out."""
+
+    async def scenario(fleet, site):
+        fleet.add('w1')
+        host = site.start('a')
+        await wait_until(lambda: host.master and host.master.is_ready)
+        host.kill()
+        began_s = fleet.clock.now_s()
+        again = site.start('a')
+        await wait_until(lambda: again.master and again.master.is_ready)
+        assert fleet.clock.now_s() - began_s < 0.5
+
+    play(scenario)
+
+
+def test_other_host_waits_for_the_lease(play, job, wait_until):
+    """Only the host of a leader knows that it is dead."""
+
+    async def scenario(fleet, site):
+        fleet.add('w1')
+        host = site.start('a')
+        await wait_until(lambda: host.master and host.master.is_ready)
+        leading = host.master
+        site.start('b')
+        await asyncio.sleep(5)
+        assert host.master is leading
+        assert not leading.tenure.is_over
+
+    play(scenario)
+
+
+def test_workers_are_held_while_jobs_are_read(play, job, wait_until):
+    """Reading thousands of jobs took longer than the leases had left.
+
+    The ends that a worker listed were then not certain to count, and it was
+    left alone for six seconds.
+    """
+
+    async def scenario(fleet, site):
+        fleet.add('w1')
+        first = site.start('a')
+        other = site.start('b')
+        await wait_until(lambda: first.master or other.master)
+        deciding, idle = (first, other) if first.master else (other, first)
+        await wait_until(lambda: deciding.master.is_ready)
+        await asyncio.sleep(3)
+        await deciding.intake.submit(job('1' * 16, count=2))
+        await wait_until(lambda: len(fleet.starts) == 2)
+        deciding.kill()
+        fleet.store.list_delay_s = _PAGE_S
+        await wait_until(lambda: idle.master)
+        await asyncio.sleep(0.3)
+        assert idle.master._sessions['w1']._is_sure
+        await wait_until(lambda: idle.master.is_ready)
+        took = idle.master.tenure.began_at_s
+        jobs = idle.master.board.jobs
+        await wait_until(lambda: jobs['1' * 16].state == 'complete')
+        assert fleet.clock.now_s() - took < _PAGE_S + 0.5
+        assert len(fleet.starts) == 2
+
+    play(scenario)
+
+
+def test_restart_of_all_trusts_the_ends(play, job, wait_until):
+    """After a power loss ends counted only on workers that still ran tasks.
+
+    The others were left alone for six seconds, two fifths of the fleet.
+    """
+
+    async def scenario(fleet, site):
+        fleet.add('w1')
+        fleet.work_s = 1
+        host = site.start('a')
+        await wait_until(lambda: host.master and host.master.is_ready)
+        await asyncio.sleep(3)
+        await host.intake.submit(job('3' * 16, count=2))
+        await wait_until(lambda: len(fleet.starts) == 2)
+        host.kill()
+        await asyncio.sleep(1.5)
+        again = site.start('b')
+        await wait_until(lambda: again.master and again.master.is_ready)
+        jobs = again.master.board.jobs
+        await wait_until(lambda: jobs['3' * 16].state == 'complete', 1)
+        assert len(fleet.starts) == 2
+
+    play(scenario)
+
+
+def test_ends_after_the_noted_lease_do_not_count(play, job, wait_until):
+    """An end that was listed before a lease ran out must not be trusted."""
+
+    async def scenario(fleet, site):
+        fleet.add('w1')
+        fleet.work_s = 1
+        host = site.start('a')
+        await wait_until(lambda: host.master and host.master.is_ready)
+        await asyncio.sleep(3)
+        await host.intake.submit(job('4' * 16))
+        await wait_until(lambda: fleet.starts)
+        host.kill()
+        await asyncio.sleep(9)
+        fleet.workers['w1'].step()
+        assert fleet.lapses
+        again = site.start('b')
+        await wait_until(lambda: again.master and again.master.is_ready)
+        jobs = again.master.board.jobs
+        await wait_until(lambda: jobs['4' * 16].state == 'complete')
+        assert len(fleet.starts) == 2
+
+    play(scenario)
+
+
+def test_ended_job_keeps_its_id_only(play, job, wait_until):
+    """A successor had to read the payloads of all jobs of the last minutes."""
+
+    async def scenario(fleet, site):
+        fleet.add('w1')
+        host = site.start('a')
+        first = attrs.evolve(job('2' * 16), payload='x' * BIG)
+        await host.intake.submit(first)
+        await wait_until(lambda: fleet.done)
+        await asyncio.sleep(0.5)
+        stored = fleet.store.keys[job_key('2' * 16)].stored
+        assert len(stored) < BIG / 10
+        assert decode_job(stored).queue == first.queue
+        again = await host.intake.submit(first)
+        assert again.outcome is Outcome.ACCEPTED
+        host.kill()
+        successor = site.start('b')
+        await wait_until(lambda: successor.master and successor.master.is_ready)
+        shown = await successor.intake.state('2' * 16, 'lookups', 'orchard')
+        assert shown == 'complete'
+        assert len(fleet.starts) == 1
+
+    play(scenario)
--- a/packages/currantreach-jobs/tests/test_worker_session.py
+++ b/packages/currantreach-jobs/tests/test_worker_session.py
@@ -72,6 +72,7 @@
     clock = ManualClock(100)
     board = Board(clock, lambda _: None, lambda: None, Metrics())
     board.add_worker(reports[0])
+    board.is_complete.set()
     written = asyncio.Event()
     written.set()
     port = ScriptedPort()
@@ -82,7 +83,7 @@
         Tenure(epoch=1, revision=1, valid_until_s=1000, began_at_s=100),
         JobSettings(),
         clock,
-        written.wait,
+        lambda _: written.wait(),
     )
     made = Bench(clock, board, port, session, written)
     await made.hold(HoldReply(clock_ms=1000, born_unix_ms=1))
