Start jobs that can be in time before those that are late

Cause: the earliest due time came first, so after a burst one late job after another, worth a fifth of its credit, made the next ones late as well.

Change: among jobs of one priority those that can still be in time come first, by their latest start, which counts the steps behind.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -195,16 +195,24 @@
     return now_s < valid_until_s
 
 
-def _urgency(stage: Stage, now_s: float) -> tuple[bool, bool, int, float]:
-    """Return a sort key: what its callers lose first comes first."""
+def _urgency(
+    stage: Stage,
+    now_s: float,
+) -> tuple[bool, bool, bool, bool, float]:
+    """Return a sort key: what its callers lose first comes first.
+
+    Among jobs of one priority those that can still be in time come before
+    those that are late already and have lost most of their worth. The earliest
+    due time alone would let one late job after another delay all the others.
+    """
     progress = stage.owner
-    priority = progress.job.queue.priority
-    due_s = progress.accepted_at_s + progress.objective_s
+    latest_start_s = stage.latest_start_s()
     return (
         progress.is_worthless(now_s),
         progress.is_excess,
-        int(priority > 0),
-        due_s,
+        progress.job.queue.priority > 0,
+        now_s > latest_start_s,
+        latest_start_s,
     )
 
 
--- a/packages/currantreach-jobs/src/currantreach_jobs/_model.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_model.py
@@ -225,6 +225,17 @@
             lengths.append(before + step.estimate_s)
         return max(lengths, default=0)
 
+    def remaining_s(self) -> list[float]:
+        """Return for each step the time from its start to the end of all."""
+        remaining: list[float] = [step.estimate_s for step in self.steps]
+        for number in reversed(range(len(self.steps))):
+            for early in self.steps[number].after:
+                remaining[early] = max(
+                    remaining[early],
+                    self.steps[early].estimate_s + remaining[number],
+                )
+        return remaining
+
     def objective_s(self) -> float:
         """Return the time in which callers want the job to be complete."""
         return self.queue.stretch_factor * self.chain_s() + self.queue.target_s
--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -66,6 +66,8 @@
 class Stage:
     """One step of one occurrence of a job.
 
+    :ivar remaining_s: estimated time from the start of the stage until the
+        job is complete.
     :ivar waiting: indices of the tasks that have no run and are not done.
     :ivar held: tasks that an earlier owner placed on a worker whose lists
         are not known yet, with that worker.
@@ -80,6 +82,7 @@
     step: Step
     tasks: list[TaskProgress]
     waiting: set[int]
+    remaining_s: float = 0
     done_count: int = 0
     held: dict[int, str] = attrs.field(factory=dict)
     allowed: dict[str, bool] = attrs.field(factory=dict)
@@ -123,6 +126,11 @@
             self.done_count += 1
         self.waiting.discard(index)
 
+    def latest_start_s(self) -> float:
+        """Return when the stage has to start for its job to be in time."""
+        due_s = self.owner.accepted_at_s + self.owner.objective_s
+        return due_s - self.remaining_s
+
     def record(self) -> StageRecord:
         """Return what has to outlast this process."""
         if self.is_done:
@@ -192,6 +200,7 @@
     def build(self) -> None:
         """Create the stages of all occurrences."""
         self.objective_s = self.job.objective_s()
+        remaining_s = self.job.remaining_s()
         for occurrence in range(max(1, self.job.occurrence_count)):
             for number, step in enumerate(self.job.steps):
                 self.stages[occurrence, number] = Stage(
@@ -204,6 +213,7 @@
                         for _ in range(step.task_count)
                     ],
                     waiting=set(range(step.task_count)),
+                    remaining_s=remaining_s[number],
                 )
 
     def ready_stages(self, unix_ms: int) -> Iterator[Stage]:
--- a/packages/currantreach-jobs/tests/test_overload.py
+++ b/packages/currantreach-jobs/tests/test_overload.py
@@ -185,3 +185,41 @@
     assert measure(table.board, 100).share_wait_s == pytest.approx(4)
     table.board.rooms['w1'].is_listed = False
     assert measure(table.board, 100).share_wait_s == pytest.approx(8)
+
+
+def test_late_job_delays_none_that_can_be_in_time(table, job):
+    """After a burst one late gang after another made the next ones late."""
+    queue = attrs.evolve(job('x').queue, stretch_factor=2, target_s=1)
+    late = attrs.evolve(job('late', needed=WHOLE, estimate_s=4), queue=queue)
+    table.board.add_job(late)
+    table.clock.advance(7)
+    fresh = [
+        attrs.evolve(job(name, needed=WHOLE, estimate_s=4), queue=queue)
+        for name in ('fresh1', 'fresh2')
+    ]
+    for each in fresh:
+        table.board.add_job(
+            attrs.evolve(each, accepted_unix_ms=each.accepted_unix_ms + 7000),
+        )
+    assert table.started() == ['fresh1', 'fresh2']
+    table.end(*table.launched)
+    assert table.started() == ['late']
+
+
+def test_step_with_more_work_behind_it_starts_first(table, job):
+    """The first of two steps has to start earlier to be in time."""
+    queue = attrs.evolve(job('x').queue, stretch_factor=2, target_s=10)
+    short = attrs.evolve(job('short', needed=WHOLE, estimate_s=2), queue=queue)
+    first = short.steps[0]
+    chain = attrs.evolve(
+        job('chain', needed=WHOLE, estimate_s=2),
+        queue=attrs.evolve(queue, stretch_factor=1),
+        steps=(first, attrs.evolve(first, after=(0,))),
+    )
+    assert chain.objective_s() == short.objective_s()
+    assert chain.remaining_s() == [4, 2]
+    table.add_workers([])
+    table.board.rooms['w2'].is_usable = False
+    table.board.add_job(short)
+    table.board.add_job(chain)
+    assert table.started() == ['chain']
