Close connections that hold a place and ask nothing

Cause: 2,000 idle connections, and 100 that sent a body of a byte a second, made a daemon refuse every submission of a valid key until they closed: open connections counted alike, whether or not they asked anything.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := types telemetry decisions config platform links state jobs daemon cli standins
+PACKAGES := types telemetry http decisions config platform links state jobs daemon cli standins
 SOURCES := conftest.py packages platform bench demo proofs testbed tests
 
 .PHONY: setup test check demo proofs bench soak format
--- a/packages/currantreach-daemon/src/currantreach_daemon/_gate.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_gate.py
@@ -47,7 +47,6 @@
         """Check against the configuration in force."""
         self.is_stopping = False
         self.stopping = asyncio.Event()
-        self.server: web.Server | None = None
         self._keeper = keeper
         self._clock = clock
         self._ring: tuple[int, KeyRing] | None = None
@@ -63,13 +62,6 @@
         self.is_stopping = True
         self.stopping.set()
 
-    def is_over_connection_limit(self) -> bool:
-        """Tell whether more connections are open than allowed."""
-        cell = self.cell()
-        if cell is None or self.server is None:
-            return False
-        return len(self.server.connections) > cell.limits.connection_limit
-
     def in_progress_count(self) -> int:
         """Return the number of calls in progress."""
         return self._in_progress.total()
--- a/packages/currantreach-daemon/src/currantreach_daemon/_http.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -12,7 +13,9 @@
 from currantreach_daemon._callers import CallerApi
 from currantreach_daemon._config_admin import ConfigAdmin
 from currantreach_daemon._http_errors import ErrorMiddleware
-from currantreach_daemon._replies import json_response
+from currantreach_daemon._replies import GUARD, json_response
+from currantreach_http import ConnectionGuard, ConnectionLimits
+from currantreach_types import MonotonicClock
 
 if TYPE_CHECKING:
     from currantreach_daemon._gate import Gate
@@ -26,6 +29,8 @@
 
 # The store holds values of up to 1 MB; configuration files may use them.
 _BODY_LIMIT_BYTES = 1_000_000
+# A body of that size arrives in this time at 2 Mbit/s.
+_BODY_TIMEOUT_S = 5
 
 
 class HttpServer:
@@ -44,10 +49,15 @@
         self._gate = gate
         self._keeper = keeper
         self._metrics = metrics
+        self._guard = ConnectionGuard(self._limits, MonotonicClock())
+        self._sweeping: asyncio.Task[None] | None = None
         self._app = web.Application(
-            middlewares=[ErrorMiddleware(gate, metrics, shedder).run],
+            middlewares=[
+                ErrorMiddleware(gate, metrics, shedder, self._guard).run,
+            ],
             client_max_size=_BODY_LIMIT_BYTES,
         )
+        self._app[GUARD] = self._guard
         self._app.add_routes(
             [
                 *CallerApi(gate, router, metrics).routes(),
@@ -69,14 +79,26 @@
             max_field_size=limits.header_limit_bytes,
         )
         await self._runner.setup()
-        self._gate.server = self._runner.server
+        if self._runner.server is not None:
+            self._guard.watch(self._runner.server)
+            self._sweeping = asyncio.create_task(self._guard.run())
         await web.TCPSite(self._runner, host, port).start()
 
     async def close(self) -> None:
         """End calls in progress and close the port."""
+        if self._sweeping is not None:
+            self._sweeping.cancel()
         if self._runner is not None:
             await self._runner.cleanup()
 
+    def _limits(self) -> ConnectionLimits:
+        cell = self._gate.cell()
+        limits = LimitsConfig() if cell is None else cell.limits
+        return ConnectionLimits(
+            most_connections=limits.connection_limit,
+            body_s=_BODY_TIMEOUT_S,
+        )
+
     async def _show_metrics(self, _request: web.Request) -> web.Response:
         return web.Response(
             body=self._metrics.render(),
--- a/packages/currantreach-daemon/src/currantreach_daemon/_http_errors.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_http_errors.py
@@ -27,6 +27,7 @@
 
     from currantreach_daemon._gate import Gate
     from currantreach_daemon._shedding import Shedder
+    from currantreach_http import ConnectionGuard
     from currantreach_telemetry import Metrics
     from currantreach_types import Refusal
 
@@ -48,8 +49,10 @@
         gate: Gate,
         metrics: Metrics,
         shedder: Shedder,
+        guard: ConnectionGuard,
     ) -> None:
         """Refuse connections above the limit and load above the core."""
+        self._guard = guard
         self._gate = gate
         self._metrics = metrics
         self._shedder = shedder
@@ -61,7 +64,19 @@
         handler: _Call,  # noqa: WPS110
     ) -> web.StreamResponse:
         """Run a handler and answer for the errors that it raises."""
-        if self._gate.is_over_connection_limit():
+        self._guard.enter(request)
+        try:
+            return await self._answer(request, handler)
+        finally:
+            self._guard.leave(request)
+
+    async def _answer(
+        self,
+        request: web.Request,
+        handler: _Call,  # noqa: WPS110
+    ) -> web.StreamResponse:
+        # Connections that ask nothing give way to those that do.
+        if not self._guard.make_room():
             return self._refused(
                 request,
                 refusals.CONNECTION_LIMIT,
--- a/packages/currantreach-daemon/src/currantreach_daemon/_replies.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_replies.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import types
 from http import HTTPStatus
 from typing import TYPE_CHECKING
@@ -10,6 +9,7 @@
 import attrs
 from aiohttp import web
 
+from currantreach_http import ConnectionGuard
 from currantreach_types import RequestState, encode_json, refusals
 from currantreach_types.errors import MalformedMessageError
 
@@ -17,6 +17,7 @@
     from currantreach_types import Answer
 
 __all__ = (
+    'GUARD',
     'answer_response',
     'authorization_of',
     'json_response',
@@ -24,7 +25,8 @@
     'unanswered_response',
 )
 
-_BODY_TIMEOUT_S = 5
+# Bounds of the connections of the application that serves a request.
+GUARD = web.AppKey('GUARD', ConnectionGuard)
 _STATUS_BY_REASON = types.MappingProxyType(
     {
         refusals.KEY_MISSING.reason: HTTPStatus.UNAUTHORIZED,
@@ -47,11 +49,10 @@
     :raises MalformedMessageError: if the body does not end in time.
     """
     try:
-        async with asyncio.timeout(_BODY_TIMEOUT_S):
-            return await request.read()
+        return await request.app[GUARD].read_body(request)
     except TimeoutError as exc:
         raise MalformedMessageError(
-            f'the body did not end within {_BODY_TIMEOUT_S} s; send it faster',
+            'the body did not end in time; send it faster',
         ) from exc
 
 
--- a/packages/currantreach-daemon/tests/test_http.py
+++ b/packages/currantreach-daemon/tests/test_http.py
@@ -13,7 +13,6 @@
 from aiohttp.test_utils import TestClient, TestServer
 
 from currantreach_config import KeyRole, check_documents, first_record, new_key
-from currantreach_daemon import _replies
 from currantreach_daemon._gate import Gate
 from currantreach_daemon._http import HttpServer
 from currantreach_daemon._shedding import Shedder
@@ -261,7 +260,7 @@
 
 async def test_endless_body(site, monkeypatch):
     """A body that never ends holds a connection for ever."""
-    monkeypatch.setattr(_replies, '_BODY_TIMEOUT_S', 0.05)
+    monkeypatch.setattr('currantreach_daemon._http._BODY_TIMEOUT_S', 0.05)
 
     async def endless():
         yield b'{'
--- /dev/null
+++ b/packages/currantreach-http/src/currantreach_http/_guard.py
@@ -0,0 +1,168 @@
+"""Closing of connections that hold a place and ask nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+from typing import TYPE_CHECKING
+
+import attrs
+
+from currantreach_telemetry import log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from aiohttp import web
+    from aiohttp.web_protocol import RequestHandler
+
+    from currantreach_types import Clock
+
+__all__ = ('ConnectionGuard', 'ConnectionLimits')
+
+# A connection outlives its bound by this time at most.
+_SWEEP_S = 0.5
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class ConnectionLimits:
+    """Bounds of the connections to one server.
+
+    :ivar most_connections: open connections beyond which those that are not
+        being served give way, the longest idle first.
+    :ivar first_request_s: time in which a new connection has to send the
+        headers of its first request.
+    :ivar idle_s: time between two requests on one connection.
+    :ivar body_s: time in which the body of a request has to arrive.
+    """
+
+    most_connections: int = 2000
+    first_request_s: float = 3
+    idle_s: float = 15
+    body_s: float = 3
+
+
+class _Phase(enum.Enum):
+    NEW = 'new'
+    IDLE = 'idle'
+    RECEIVING = 'receiving'
+    SERVING = 'serving'
+
+
+@attrs.define(slots=True)
+class _Connection:
+    """Phase of a connection, and since when it lasts."""
+
+    phase: _Phase
+    since_s: float
+
+
+class ConnectionGuard:
+    """Watches the connections of one server."""
+
+    def __init__(
+        self,
+        read_limits: Callable[[], ConnectionLimits],
+        clock: Clock,
+    ) -> None:
+        """Prepare to watch; :meth:`run` needs the server.
+
+        :param read_limits: returns the bounds in force.
+        """
+        self._read_limits = read_limits
+        self._clock = clock
+        self._server: web.Server | None = None
+        self._known: dict[RequestHandler, _Connection] = {}
+
+    def watch(self, server: web.Server) -> None:
+        """Watch the connections of a server."""
+        self._server = server
+
+    def enter(self, request: web.BaseRequest) -> None:
+        """Note that the headers of a request are here."""
+        has_body = request.can_read_body
+        self._note(request, _Phase.RECEIVING if has_body else _Phase.SERVING)
+
+    def leave(self, request: web.BaseRequest) -> None:
+        """Note that a request has its answer."""
+        self._note(request, _Phase.IDLE)
+
+    async def read_body(self, request: web.BaseRequest) -> bytes:
+        """Return the body of a request.
+
+        :raises TimeoutError: if it does not arrive in time.
+        """
+        async with asyncio.timeout(self._read_limits().body_s):
+            body = await request.read()
+        self._note(request, _Phase.SERVING)
+        return body
+
+    def make_room(self) -> bool:
+        """Close what is beyond the bound, the longest idle first.
+
+        :returns: whether the connections are within the bound now.
+        """
+        known = self._connections()
+        excess = len(known) - self._read_limits().most_connections
+        if excess <= 0:
+            return True
+        waiting = [
+            (state.since_s, number, connection)
+            for number, (connection, state) in enumerate(known.items())
+            if state.phase is not _Phase.SERVING
+        ]
+        closed = sorted(waiting)[:excess]
+        for _, _, longest in closed:
+            self._close(longest, 'too_many')
+        return len(closed) == excess
+
+    async def run(self) -> None:
+        """Close connections beyond their bounds until cancelled."""
+        while True:
+            await asyncio.sleep(_SWEEP_S)
+            self.sweep()
+
+    def sweep(self) -> None:
+        """Close each connection that is beyond one of its bounds."""
+        now_s = self._clock.now_s()
+        limits = self._read_limits()
+        bounds_s = {
+            _Phase.NEW: limits.first_request_s,
+            _Phase.IDLE: limits.idle_s,
+            _Phase.RECEIVING: limits.body_s,
+        }
+        for connection, known in tuple(self._connections().items()):
+            bound_s = bounds_s.get(known.phase)
+            if bound_s is not None and now_s > known.since_s + bound_s:
+                self._close(connection, known.phase.value)
+        self.make_room()
+
+    def _connections(
+        self,
+    ) -> dict[RequestHandler, _Connection]:
+        """Return the open connections; new ones are counted from now on."""
+        if self._server is None:
+            return {}
+        now_s = self._clock.now_s()
+        self._known = {
+            connection: self._known.get(connection)
+            or _Connection(_Phase.NEW, now_s)
+            for connection in self._server.connections
+            if connection.connected
+        }
+        return self._known
+
+    def _note(self, request: web.BaseRequest, phase: _Phase) -> None:
+        self._known[request.protocol] = _Connection(
+            phase,
+            self._clock.now_s(),
+        )
+
+    def _close(
+        self,
+        connection: RequestHandler,
+        reason: str,
+    ) -> None:
+        log_event('connection_closed', reason=reason)
+        self._known.pop(connection, None)
+        connection.force_close()
