--- a/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
@@ -132,13 +132,13 @@
     rooms: Sequence[WorkerRoom],
 ) -> list[WorkerRoom]:
     """Return allowed workers first; a gang asks for the emptiest of them."""
-
-    def key(room: WorkerRoom) -> tuple[bool, int]:
-        is_unknown = room.report.worker_id not in stage.allowed
-        size = fitting_count(stage, room) if stage.step.is_gang else 0
-        return is_unknown, -size
-
-    return sorted(rooms, key=key)
+    return sorted(
+        rooms,
+        key=lambda room: (
+            room.report.worker_id not in stage.allowed,
+            -fitting_count(stage, room) if stage.step.is_gang else 0,
+        ),
+    )
 
 
 def _may_take(stage: Stage, room: WorkerRoom, now_s: float) -> bool:
