--- a/packages/currantreach-daemon/src/currantreach_daemon/_gate.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_gate.py
@@ -21,8 +21,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from aiohttp import web
-
     from currantreach_config import CellConfig
     from currantreach_state import ConfigKeeper
     from currantreach_types import Clock
