Announce accepted jobs to the leader

Change: the daemon that accepts a job hands it to the leader over their link; the watch still covers what is not heard. Two tests in test_slow_store.py.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_daemon.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_daemon.py
@@ -13,6 +13,7 @@
 from currantreach_jobs._master import Master
 from currantreach_jobs._messages import (
     AdviceRequest,
+    AnnounceReply,
     CancelRequest,
     CellReply,
     CountRequest,
@@ -176,6 +177,7 @@
     def _handlers(self) -> dict[str, Handler]:
         return {
             'advise': self._on_advise,
+            'announce': self._on_announce,
             'cancel': self._on_cancel,
             'cell': self._on_cell,
             'count': self._on_count,
@@ -188,6 +190,11 @@
         request = decode_packed(body, AdviceRequest)
         return encode_packed(await self._desk.ask(request))
 
+    async def _on_announce(self, body: bytes) -> bytes:
+        request = decode_packed(body, SubmitRequest)
+        self.intake.take_announced(request.job)
+        return encode_packed(AnnounceReply())
+
     async def _on_cell(self, _: bytes) -> bytes:
         return encode_packed(self._cell.view())
 
--- a/packages/currantreach-jobs/src/currantreach_jobs/_intake.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_intake.py
@@ -12,6 +12,7 @@
 
 from currantreach_jobs._load import Load, wait_before_retry_s
 from currantreach_jobs._messages import (
+    AnnounceReply,
     CancelRequest,
     CountReply,
     CountRequest,
@@ -147,6 +148,7 @@
         self._isolated_until_s: float = 0
         self._waiting: list[_Waiting] = []
         self._has_waiting = asyncio.Event()
+        self._announcements: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
         """Write accepted jobs, many in one transaction."""
@@ -205,6 +207,7 @@
                     steps=len(job.steps),
                     tasks=sum(step.task_count for step in job.steps),
                 )
+                self._announce(stamped)
                 return Verdict(outcome=Outcome.ACCEPTED)
             return await self._repeated(job)
         except StoreUnavailableError as error:
@@ -296,6 +299,12 @@
             pending_count=master.board.pending_count(request.queue),
         )
 
+    def take_announced(self, job: Job) -> None:
+        """Take a job over that another daemon has accepted."""
+        master = self._read_master()
+        if master is not None and master.is_ready:
+            master.note_job(job)
+
     async def follow_load(self) -> None:
         """Ask the leader for the load of the fleet, twice a second."""
         while True:
@@ -345,6 +354,32 @@
         )
         return Verdict(outcome=Outcome.OVERLOADED, retry_after_s=wait_s)
 
+    def _announce(self, job: Job) -> None:
+        """Hand an accepted job to the leader before its watch reports it.
+
+        The watch is as slow as the store; a job that is announced twice is
+        one job.
+        """
+        leader = self._cell.leader
+        if leader is None or leader.daemon_id == self._cell.daemon_id:
+            self.take_announced(job)
+            return
+        sending = asyncio.create_task(self._send_announced(leader.address, job))
+        self._announcements.add(sending)
+        sending.add_done_callback(self._announcements.discard)
+
+    async def _send_announced(self, address: str, job: Job) -> None:
+        try:
+            await self._links.call(
+                address,
+                'announce',
+                SubmitRequest(job=job),
+                AnnounceReply,
+                _ASK_S,
+            )
+        except CurrantreachError as error:
+            log_event('not_announced', job=job.job_id, error=error)
+
     def _may_write(self) -> bool:
         """Tell whether the store did not turn this daemon away just now."""
         return time.monotonic() >= self._rejected_until_s
--- a/packages/currantreach-jobs/src/currantreach_jobs/_master.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_master.py
@@ -138,6 +138,10 @@
             self._load = measure(self.board, now_s)
         return self._load
 
+    def note_job(self, job: Job) -> None:
+        """Take an accepted job over."""
+        self.board.add_job(job, weight=self._weight_of(job))
+
     async def resign(self) -> None:
         """Write all that is noted and let another daemon decide."""
         if self.tenure.is_over:
@@ -155,7 +159,7 @@
         except PlatformError as error:
             log_problem('recovery_failed', error=error)
             return
-        feed = JobFeed(self._store, self._note_job, self.board.cancel)
+        feed = JobFeed(self._store, self.note_job, self.board.cancel)
         parts: list[Coroutine[object, object, None]] = [
             self._committer.run(),
             feed.follow(revision),
@@ -282,9 +286,6 @@
             except PlatformError as error:
                 log_event('leases_unwritten', error=error)
 
-    def _note_job(self, job: Job) -> None:
-        self.board.add_job(job, weight=self._weight_of(job))
-
     def _weight_of(self, job: Job) -> int:
         config = self._outside.source.config
         team = config.teams.get(job.team) if config else None
--- a/packages/currantreach-jobs/src/currantreach_jobs/_messages.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_messages.py
@@ -10,6 +10,7 @@
 __all__ = (
     'AdviceReply',
     'AdviceRequest',
+    'AnnounceReply',
     'CancelRequest',
     'CellReply',
     'CountReply',
@@ -94,6 +95,11 @@
     job: Job
 
 
+@attrs.frozen(slots=True)
+class AnnounceReply:
+    """Receipt of a job that was announced."""
+
+
 @attrs.frozen(slots=True, kw_only=True)
 class CancelRequest:
     """Cancellation that another daemon could not store."""
--- a/packages/currantreach-jobs/tests/conftest.py
+++ b/packages/currantreach-jobs/tests/conftest.py
@@ -79,7 +79,8 @@
 
     ``is_down`` refuses every call, ``lost`` counts commits that take effect
     without an answer, ``delay_s`` is the time that a call takes, and
-    ``list_delay_s`` what a list of keys takes beyond it.
+    ``list_delay_s`` what a list of keys takes beyond it, and
+    ``watch_delay_s`` how late a watch reports.
     """
 
     max_entries = 32
@@ -93,6 +94,7 @@
         self.is_down = False
         self.delay_s = 0.004
         self.list_delay_s = 0
+        self.watch_delay_s = 0
         self.lost = 0
         self.numbers = itertools.count(1)
         self.changed = asyncio.Event()
@@ -176,6 +178,7 @@
             }
             left_s = end_s - self.clock.now_s()
             if found or left_s <= 0:
+                await asyncio.sleep(self.watch_delay_s)
                 return WatchResult(
                     revision=self.revision,
                     changed=tuple(
@@ -604,10 +607,15 @@
     store: OwnStore
     master: Master | None = None
     is_killed: bool = False
+    announced: list = attrs.field(factory=list)
 
     async def on_submit(self, request):
         return reply_of(await self.intake.submit_here(request.job))
 
+    async def on_announce(self, request):
+        self.announced.append(request.job.job_id)
+        self.intake.take_announced(request.job)
+
     async def on_cancel(self, request):
         return reply_of(
             await self.intake.cancel_here(
--- a/packages/currantreach-jobs/tests/test_slow_store.py
+++ b/packages/currantreach-jobs/tests/test_slow_store.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from currantreach_jobs import Outcome
 from currantreach_jobs._commits import Committer
 from currantreach_jobs._progress import JobProgress
 from currantreach_jobs._terms import Tenure
@@ -108,3 +109,42 @@
         writing.cancel()
 
     play(scenario)
+
+
+def test_accepted_job_reaches_the_leader_at_once(play, job, wait_until):
+    """The watch of a slow store delayed each prompt job by another answer."""
+
+    async def scenario(fleet, site):
+        fleet.add('w1')
+        first = site.start('a')
+        second = site.start('b')
+        await wait_until(lambda: first.master or second.master)
+        leading, other = first, second
+        if second.master:
+            leading, other = second, first
+        await wait_until(lambda: leading.master.is_ready)
+        await wait_until(lambda: other.cell.leader)
+        fleet.store.watch_delay_s = 1
+        verdict = await other.intake.submit(job('0' * 16))
+        assert verdict.outcome is Outcome.ACCEPTED
+        await asyncio.sleep(0.2)
+        assert leading.announced == ['0' * 16]
+        assert len(fleet.starts) == 1
+        await asyncio.sleep(3)
+        assert len(fleet.starts) == 1
+
+    play(scenario)
+
+
+def test_unheard_announcement_loses_no_job(play, job, wait_until):
+    """A leader that is not told finds the job in the store."""
+
+    async def scenario(fleet, site):
+        fleet.add('w1')
+        host = site.start('a')
+        await wait_until(lambda: host.master and host.master.is_ready)
+        host.intake.take_announced = lambda _: None
+        await host.intake.submit(job('1' * 16))
+        await wait_until(lambda: fleet.done)
+
+    play(scenario)
