Hold tickets for urgent tasks before room is free

Cause: once calls named only workers with room, an urgent task on a full fleet asked after room had become free, and others with tickets took it meanwhile.

A test in test_advice.py failed before.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -30,6 +30,9 @@
 _RESERVABLE_SHARE = 0.5
 # A reservation is renewed by each round; the rounds are closer than this.
 _RESERVATION_S = 0.3
+# An urgent call may take this much longer to name more workers, some
+# milliseconds on the queues of today.
+_URGENT_STRETCH = 0.7
 # A ticket that outlasts a call by less than this would expire before the
 # start that it is for.
 _CALL_MARGIN_S = 0.3
@@ -173,14 +176,17 @@
             for room in rooms
             if stage.allowed.get(room.report.worker_id, True)
         ]
+        least = _least_named(stage, advice)
         wanted = len(stage.waiting) if stage.step.is_gang else 1
-        if sum(fitting_count(stage, room) for room in open_rooms) < wanted:
+        fitting = sum(fitting_count(stage, room) for room in open_rooms)
+        if fitting < wanted and not least:
             return
         named = rooms_to_ask(
             stage,
             open_rooms,
             self._advisor.likelihood(stage.owner.job.queue.name),
             now_s + advice.fixed_s + _CALL_MARGIN_S,
+            least,
         )
         if named:
             self._advisor.ask(
@@ -190,6 +196,17 @@
             )
 
 
+def _least_named(stage: Stage, advice: Advice) -> int:
+    """Return of how many workers a stage should hold tickets.
+
+    On a full fleet an urgent task needs its ticket before room becomes free,
+    as others with tickets take the room while its call is under way.
+    """
+    if stage.owner.job.queue.priority or not advice.per_worker_s:
+        return 0
+    return round(_URGENT_STRETCH * advice.fixed_s / advice.per_worker_s)
+
+
 def _has_ticket(stage: Stage, room: WorkerRoom, now_s: float) -> bool:
     _, valid_until_s = stage.tickets.get(room.report.worker_id, ('', 0))
     return now_s < valid_until_s
--- a/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
@@ -96,6 +96,7 @@
     rooms: Sequence[WorkerRoom],
     likelihood: float,
     ticket_until_s: float,
+    least: int = 0,
 ) -> list[WorkerRoom]:
     """Return the workers to name in a call to the placement service.
 
@@ -107,15 +108,17 @@
         first.
     :param likelihood: part of the unknown workers that is allowed.
     :param ticket_until_s: time until which a ticket has to be valid.
+    :param least: number of workers to hold tickets of, with room or without.
     """
     missing: float = len(stage.waiting)
     named: list[WorkerRoom] = []
     for room in _in_order_of_asking(stage, rooms):
+        if missing <= 0 and least <= 0:
+            break
         count = fitting_count(stage, room)
-        if not count:
+        if not count and least <= 0:
             continue
-        if missing <= 0:
-            break
+        least -= 1
         worker_id = room.report.worker_id
         if stage.allowed.get(worker_id, False):
             missing -= count / _RACE_MARGIN
@@ -131,13 +134,22 @@
     stage: Stage,
     rooms: Sequence[WorkerRoom],
 ) -> list[WorkerRoom]:
-    """Return allowed workers first; a gang asks for the emptiest of them."""
+    """Return workers with room first, and allowed ones first among them.
+
+    A gang asks for the emptiest workers.
+    """
     return sorted(
         rooms,
-        key=lambda room: (
-            room.report.worker_id not in stage.allowed,
-            -fitting_count(stage, room) if stage.step.is_gang else 0,
-        ),
+        key=lambda room: _rank_of_asking(stage, room),
+    )
+
+
+def _rank_of_asking(stage: Stage, room: WorkerRoom) -> tuple[bool, bool, int]:
+    count = fitting_count(stage, room)
+    return (
+        not count,
+        room.report.worker_id not in stage.allowed,
+        -count if stage.step.is_gang else 0,
     )
 
 
--- a/packages/currantreach-jobs/tests/test_advice.py
+++ b/packages/currantreach-jobs/tests/test_advice.py
@@ -89,6 +89,17 @@
     assert 4 <= len(named) <= 8
 
 
+def test_urgent_task_holds_tickets_before_room_is_free(stage, rooms):
+    """On a full fleet others took the room while an urgent call went on."""
+    full = [room for room in rooms if room.free is FULL]
+    assert not rooms_to_ask(stage(2), full, 0.7, NOW_S)
+    named = rooms_to_ask(stage(2), full, 0.7, NOW_S, least=40)
+    assert len(named) == 40
+    mixed = rooms_to_ask(stage(2), rooms, 0.7, NOW_S, least=40)
+    assert len(mixed) == 40
+    assert all(room.free is not FULL for room in mixed)
+
+
 class StubCell:
     """Members of a cell, of which some are near."""
 
