Count an end only for the run that it belongs to

Run 1 of its task had failed and was counted, run 2 was placed on the same worker, and all daemons were killed before the end of run 1 was acknowledged. The successor knew the worker of the task, not the number of its run, so it took the listed end of run 1 for that of run 2.

Change: the place of a task has the number of its run, and only a run or an end with this number is taken over.

A void end of an earlier run could have been taken for a good one in the same way; that was not seen.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_board.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_board.py
@@ -8,6 +8,7 @@
 from currantreach_jobs._model import EndKind, JobState
 from currantreach_jobs._pace import TeamPace
 from currantreach_jobs._progress import JobProgress, Run, RunPhase, Stage
+from currantreach_jobs._records import Place
 from currantreach_jobs._rooms import TeamUse, WorkerRoom
 from currantreach_telemetry import log_event
 from currantreach_types import unix_now_ms
@@ -223,7 +224,8 @@
         stage = self.stage_of(found.task)
         if stage is None or stage.owner.state.is_final:
             return None
-        if stage.held.get(found.task.index) != worker_id:
+        place = Place(worker_id, found.attempt)
+        if not stage.is_held_as(found.task.index, place):
             return None
         task = stage.tasks[found.task.index]
         self._release_held(stage, found.task.index)
@@ -286,7 +288,10 @@
             stage = run.stage
             self._release(run)
         elif is_inherited:
-            stage = self._held_stage(ended.task, worker_id)
+            stage = self._held_stage(
+                ended.task,
+                Place(worker_id, ended.attempt),
+            )
         if stage is None or stage.owner.state.is_final:
             return
         task = stage.tasks[ended.task.index]
@@ -395,10 +400,10 @@
         self._mark_changed(progress.job.job_id)
         self._wake()
 
-    def _held_stage(self, task: TaskKey, worker_id: str) -> Stage | None:
-        """Return the stage of a task that is held for a worker."""
+    def _held_stage(self, task: TaskKey, place: Place) -> Stage | None:
+        """Return the stage of a task that is held for a run."""
         stage = self.stage_of(task)
-        if stage is None or stage.held.get(task.index) != worker_id:
+        if stage is None or not stage.is_held_as(task.index, place):
             return None
         self._release_held(stage, task.index)
         return stage
--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -8,7 +8,7 @@
 import attrs
 
 from currantreach_jobs._model import Job, JobState, Step, TaskKey
-from currantreach_jobs._records import ProgressRecord, StageRecord
+from currantreach_jobs._records import Place, ProgressRecord, StageRecord
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -70,7 +70,7 @@
         job is complete.
     :ivar waiting: indices of the tasks that have no run and are not done.
     :ivar held: tasks that an earlier owner placed on a worker whose lists
-        are not known yet, with that worker.
+        are not known yet, with the run that it ordered there.
     :ivar allowed: verdicts of the placement service by worker.
     :ivar tickets: code and end of validity by worker.
     :ivar asked_until_s: when the outstanding call for advice is given up.
@@ -84,7 +84,7 @@
     waiting: set[int]
     remaining_s: float = 0
     done_count: int = 0
-    held: dict[int, str] = attrs.field(factory=dict)
+    held: dict[int, Place] = attrs.field(factory=dict)
     allowed: dict[str, bool] = attrs.field(factory=dict)
     tickets: dict[str, tuple[str, float]] = attrs.field(factory=dict)
     asked_until_s: float = 0
@@ -116,7 +116,15 @@
 
     def held_on(self, worker_id: str) -> list[int]:
         """Return the tasks that are held for a worker."""
-        return [index for index, held in self.held.items() if held == worker_id]
+        return [
+            index
+            for index, place in self.held.items()
+            if place.worker_id == worker_id
+        ]
+
+    def is_held_as(self, index: int, place: Place) -> bool:
+        """Tell whether a task is held for this very run."""
+        return self.held.get(index) == place
 
     def finish(self, index: int) -> None:
         """Note that a task is done."""
@@ -154,15 +162,15 @@
             self.finish(index)
         for failed, count in record.failures.items():
             self.tasks[failed].failure_count = count
-        for index, worker_id in record.placed.items():
+        for index, place in record.placed.items():
             self.waiting.discard(index)
-            self.held[index] = worker_id
+            self.held[index] = place
 
-    def _places(self) -> dict[int, str]:
+    def _places(self) -> dict[int, Place]:
         placed = dict(self.held)
         for index, task in enumerate(self.tasks):
             if task.run is not None and not task.is_done:
-                placed[index] = task.run.worker_id
+                placed[index] = Place(task.run.worker_id, task.run.attempt)
         return placed
 
 
@@ -227,7 +235,7 @@
         """Return the workers for whose lists tasks are held back."""
         workers: set[str] = set()
         for stage in self.stages.values():
-            workers.update(stage.held.values())
+            workers.update(place.worker_id for place in stage.held.values())
         return workers
 
     def is_worthless(self, now_s: float) -> bool:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_records.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_records.py
@@ -26,6 +26,7 @@
     'LeaderRecord',
     'LeaseRecord',
     'MemberRecord',
+    'Place',
     'ProgressRecord',
     'StageRecord',
     'WorkerLease',
@@ -113,6 +114,18 @@
     leases: dict[str, WorkerLease] = attrs.field(factory=dict)
 
 
+@attrs.frozen(slots=True)
+class Place:
+    """Worker and number of a run.
+
+    A worker may still list ends of earlier runs of the task, which are
+    counted already or do not count at all.
+    """
+
+    worker_id: str
+    attempt: int
+
+
 @attrs.frozen(slots=True, kw_only=True)
 class StageRecord:
     """Ends and places of the tasks of one step of one occurrence.
@@ -120,13 +133,13 @@
     :ivar is_done: whether all tasks are done.
     :ivar done: indices of the tasks that are done, if not all are.
     :ivar failures: failed runs by the index of the task.
-    :ivar placed: worker on which a task that is not done may run.
+    :ivar placed: run that a task which is not done may have.
     """
 
     is_done: bool = False
     done: tuple[int, ...] = ()
     failures: dict[int, int] = attrs.field(factory=dict)
-    placed: dict[int, str] = attrs.field(factory=dict)
+    placed: dict[int, Place] = attrs.field(factory=dict)
 
 
 @attrs.frozen(slots=True, kw_only=True)
--- a/packages/currantreach-jobs/tests/test_restarts.py
+++ b/packages/currantreach-jobs/tests/test_restarts.py
@@ -10,8 +10,9 @@
 import itertools
 
 import attrs
+import pytest
 
-from currantreach_jobs import Outcome
+from currantreach_jobs import EndKind, Outcome
 from currantreach_jobs._records import decode_job, job_key
 from currantreach_types.errors import LostAnswerError
 
@@ -199,3 +200,35 @@
         assert fleet.clock.now_s() - cut_at_s < 2
 
     play(scenario)
+
+
+@pytest.mark.parametrize('delay_s', [0.02, 0.1, 0.3, 0.45])
+def test_failure_is_counted_once(play, job, wait_until, delay_s):
+    """A failed run that its worker still lists was counted by two leaders.
+
+    The task ran again on the same worker, so the successor took the earlier
+    end for that of the run that it knew of, and the job failed too soon.
+    """
+
+    async def scenario(fleet, site):
+        worker = fleet.add('w1')
+        worker.fails = True
+        fleet.work_s = 0.5
+        host = site.start('a')
+        await wait_until(lambda: host.master and host.master.is_ready)
+        session = host.master._sessions['w1']
+        session._acknowledge = lambda: asyncio.sleep(0.02)
+        await host.intake.submit(job('5' * 16))
+        await wait_until(lambda: len(fleet.starts) == 2)
+        await asyncio.sleep(delay_s)
+        host.kill()
+        worker.fails = False
+        for run in worker.running.values():
+            run.kind = EndKind.DONE
+        again = site.start('a')
+        await wait_until(lambda: again.master and again.master.is_ready)
+        jobs = again.master.board.jobs
+        await wait_until(lambda: jobs['5' * 16].state.is_final)
+        assert jobs['5' * 16].state == 'complete'
+
+    play(scenario)
--- a/packages/currantreach-jobs/tests/test_takeovers.py
+++ b/packages/currantreach-jobs/tests/test_takeovers.py
@@ -9,6 +9,7 @@
 
 from currantreach_jobs import JobSettings, Outcome
 from currantreach_jobs._records import (
+    Place,
     ProgressRecord,
     StageRecord,
     encode_job,
@@ -286,7 +287,7 @@
 
     async def scenario(fleet, site):
         fleet.add('w1')
-        placed = StageRecord(placed={0: 'gone', 1: 'gone'})
+        placed = StageRecord(placed={0: Place('gone', 1), 1: Place('gone', 1)})
         await fleet.store.commit(
             {},
             [
