Add a fault soak with real daemons

Change: tests/soak starts three daemons as child processes against stand-ins of the store, six workers and the placement service, and injects 17 kinds of faults from outside, in series and overlapping: signals, relays that silence, stall and cut connections, a store that is down, slow or lossy or forgets its history, workers that crash, fail, drain or carry orders out late. A checker reads what callers and workers saw and knows nothing of the scheduler's code.

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,12 @@
 SEED ?= 1
+SEEDS ?= 1-5
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := types telemetry http decisions config platform links state jobs daemon cli standins
 SOURCES := conftest.py packages platform bench demo proofs testbed tests
 
-.PHONY: setup test check demo proofs bench soak format
+.PHONY: setup test check demo proofs bench soak fault-soak format
 
 setup: $(VENV)/installed
 
@@ -41,3 +42,6 @@
 
 soak: setup
 	$(BIN)/python -m pytest --soak --hypothesis-seed=$(SEED) --timeout=1800 packages
+
+fault-soak: setup
+	$(BIN)/python -m tests.soak --seeds $(SEEDS)
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,48 @@
+"""Run seeds of the fault soak: ``python -m tests.soak --seeds 1-50``."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import logging
+import pathlib
+import sys
+
+from tests.soak._site import play_seed
+
+_FOLDER = pathlib.Path('build/soak')
+
+
+async def _play(seeds, parallel, seconds):
+    gate = asyncio.Semaphore(parallel)
+
+    async def one(seed):
+        async with gate:
+            found = await play_seed(seed, _FOLDER / str(seed), seconds)
+        sys.stdout.write(f'{found.line()}\n')
+        sys.stdout.flush()
+        return bool(found.broken)
+
+    verdicts = await asyncio.gather(*map(one, seeds))
+    failed = sum(verdicts)
+    sys.stdout.write(f'{len(verdicts) - failed} passed, {failed} failed\n')
+    return failed
+
+
+def main():
+    """Play seeds and exit with 1 if a promise broke."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seeds', default='1-5', help='first-last')
+    parser.add_argument('--parallel', type=int, default=2)
+    parser.add_argument('--seconds', type=float, default=12)
+    chosen = parser.parse_args()
+    # Relays and kills break calls to the stand-ins on purpose.
+    logging.getLogger('aiohttp.server').setLevel(logging.CRITICAL)
+    first, _, last = chosen.seeds.partition('-')
+    seeds = range(int(first), int(last or first) + 1)
+    failed = asyncio.run(_play(seeds, chosen.parallel, chosen.seconds))
+    sys.exit(bool(failed))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/soak/_site.py
@@ -0,0 +1,197 @@
+"""One site of the soak: stand-ins, relays, daemons, callers and faults."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+import shutil
+
+import attrs
+from aiohttp import web
+
+from testbed import Relay, free_ports
+from tests.soak._callers import HOST, Callers
+from tests.soak._daemons import Daemon
+from tests.soak._faults import Faults
+from tests.soak._store import StoreStandIn
+from tests.soak._workers import FleetStandIn
+from tests.soak._world import MOST_ATTEMPTS, World
+
+_DAEMONS = 3
+_WORKERS = 6
+_RATE = 8
+_LIMITS = {'limited': 16000}
+_START_S = 3
+# Leases of 6 s, an election and the jobs that wait end well within this time.
+_SETTLE_S = 40
+
+
+@attrs.define
+class Found:
+    """What one seed showed."""
+
+    seed: int
+    broken: list
+    faults: list
+    jobs: int
+    starts: int
+
+    def line(self):
+        """Return the verdict in one line."""
+        verdict = '; '.join(self.broken[:4]) or 'sound'
+        return (
+            f'seed={self.seed} jobs={self.jobs} starts={self.starts} '
+            f'faults={len(self.faults)} verdict={verdict}'
+        )
+
+
+class Site:
+    """Everything that one seed plays with."""
+
+    def __init__(self, seed, folder):
+        """Prepare the parts."""
+        shutil.rmtree(folder, ignore_errors=True)
+        folder.mkdir(parents=True)
+        self.folder = folder
+        self.random = random.Random(seed)
+        self.world = World(_LIMITS)
+        self.store = StoreStandIn(seed)
+        self.fleet = FleetStandIn(self.world, self.store, seed)
+        self.daemons = []
+        self.store_relays = []
+        self.worker_relays = []
+        self.frontends = []
+        self._runners = []
+        self._tasks = []
+
+    async def open(self):
+        """Start the stand-ins and the daemons."""
+        self.store.write('op/config', json.dumps(_config()).encode())
+        store_port = await self._serve(self.store.serve)
+        advice_port = await self._serve(self.fleet.advise)
+        for number in range(_WORKERS):
+            worker = self.fleet.add(f'w{number}')
+            relay = await self._relay(await self._serve(worker.serve))
+            worker.address = f'127.0.0.1:{relay.port}'
+            self.worker_relays.append(relay)
+        self._tasks.append(asyncio.create_task(self.fleet.beat()))
+        for index in range(_DAEMONS):
+            await self._add_daemon(f'd{index}', store_port, advice_port)
+        await asyncio.sleep(_START_S)
+
+    async def close(self):
+        """End all processes and servers that were started."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for daemon in self.daemons:
+            await daemon.end()
+        for relay in (*self.store_relays, *self.worker_relays):
+            await relay.close()
+        for runner in self._runners:
+            await runner.cleanup()
+
+    async def _add_daemon(self, name, store_port, advice_port):
+        relay = await self._relay(store_port)
+        self.store_relays.append(relay)
+        link, frontend, ready = free_ports(3)
+        daemon = Daemon(
+            name,
+            self.folder,
+            link=link,
+            frontend=frontend,
+            ready=ready,
+            store=f'127.0.0.1:{relay.port}',
+            advice=f'127.0.0.1:{advice_port}',
+        )
+        self.daemons.append(daemon)
+        self.frontends.append(f'127.0.0.1:{frontend}')
+        self._tasks.append(asyncio.create_task(daemon.run()))
+
+    async def _serve(self, handler):
+        runner = web.ServerRunner(
+            web.Server(handler, access_log=None),
+            shutdown_timeout=0.1,
+        )
+        await runner.setup()
+        self._runners.append(runner)
+        port = free_ports(1)[0]
+        await web.TCPSite(runner, '127.0.0.1', port).start()
+        return port
+
+    async def _relay(self, port):
+        relay = Relay(port)
+        await relay.start()
+        return relay
+
+
+async def play_seed(seed, folder, seconds):
+    """Play one seed and return what it showed."""
+    site = Site(seed, folder)
+    callers = Callers(site.world, site.frontends, site.random)
+    faults = Faults(site, random.Random(seed + 1))
+    await callers.open()
+    try:
+        await site.open()
+        await asyncio.gather(
+            callers.load(seconds, _RATE),
+            faults.run(seconds),
+        )
+        await callers.settle(_SETTLE_S)
+        _check_cancelled(site.world)
+    finally:
+        await callers.close()
+        with contextlib.suppress(ProcessLookupError):
+            await site.close()
+    return Found(
+        seed=seed,
+        broken=site.world.broken,
+        faults=faults.played,
+        jobs=len(site.world.jobs),
+        starts=site.world.start_count,
+    )
+
+
+def _check_cancelled(world):
+    """Nothing of a cancelled job runs once all is calm again."""
+    for run in world.running:
+        job = world.jobs[run.task[0]]
+        if job.cancelled_at_s:
+            world.breach('unasked', f'{run.task} of a cancelled job runs')
+
+
+def _config():
+    queue = {
+        'host': HOST,
+        'service': 'passes',
+        'priority': 1,
+        'maxAttempts': MOST_ATTEMPTS,
+        'stretchFactor': 3,
+        'targetDurationMs': 5000,
+    }
+    queues = [
+        {**queue, 'name': team, 'prefix': f'/{team}/'}
+        for team in ('steady', 'limited', 'advised')
+    ]
+    queues[2]['recommendation'] = {
+        'decideMs': 20,
+        'periodMs': 1,
+        'validMs': 2500,
+    }
+    return {
+        'version': 1,
+        'routes': queues,
+        'services': [{'name': 'passes'}],
+        'limits': {},
+        'tenants': [
+            {
+                'name': team,
+                'apiKeys': [f'key-{team}'],
+                'weight': 50,
+                'maxCount': {'cpu': _LIMITS.get(team, 0)},
+            }
+            for team in ('steady', 'limited', 'advised')
+        ],
+    }
