--- a/packages/currantreach-jobs/src/currantreach_jobs/_terms.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_terms.py
@@ -26,8 +26,9 @@
         takes at least this long. A slow store answers within 0.25 s.
     :ivar leader_renew_s: pause between renewals; four fit into a lease.
     :ivar member_lease_s: time to live of the record of a daemon.
-    :ivar run_lease_s: lease of the runs on a worker. It outlasts a takeover,
-        and a worker that is cut off delays its tasks by no more than it.
+    :ivar run_lease_s: lease of the runs on a worker. It outlasts a takeover
+        and most cuts of a failure domain, after which the runs go on; the
+        tasks of a worker that is lost wait for its end.
     :ivar hold_grace_s: how long a leader that lost the store keeps the runs
         of its workers alive. A store outage of a few seconds ends no run.
     :ivar clock_slack: fraction by which a worker's clock may be slow.
@@ -45,7 +46,7 @@
     leader_lease_s: float = 1.4
     leader_renew_s: float = 0.35
     member_lease_s: float = 6
-    run_lease_s: float = 5.5
+    run_lease_s: float = 8
     hold_grace_s: float = 6
     clock_slack: float = 0.03
     hold_wait_s: float = 1
