Let one call at a time find out that the store is silent

Change: a write whose answer is lost is tried twice instead of three times; while the cell has not heard of the store since, callers do not ask it; while neither store nor peers answer, one call tries them and the others are refused at once. The intake uses the clock of its daemon. A new test in test_passing_on.py; it was not run on the code before, whose constructor it does not fit.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_daemon.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_daemon.py
@@ -82,6 +82,7 @@
             outside.store,
             self._cell,
             self._links,
+            clock,
             lambda: self.master,
             lambda: self.config,
         )
--- a/packages/currantreach-jobs/src/currantreach_jobs/_intake.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_intake.py
@@ -5,7 +5,6 @@
 import asyncio
 import enum
 import functools
-import time
 from typing import TYPE_CHECKING
 
 import attrs
@@ -44,13 +43,14 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from currantreach_jobs._cell import Cell
     from currantreach_jobs._links import Links
     from currantreach_jobs._master import Master
     from currantreach_jobs._model import SiteConfig
     from currantreach_platform import TransactionalStore
+    from currantreach_types import Clock
 
 __all__ = ('Intake', 'Outcome', 'Verdict', 'reply_of')
 
@@ -64,8 +64,9 @@
 _REJECTED_S = 0.5
 # Pause between two tries of a daemon that reaches neither store nor peers.
 _ISOLATED_S = 0.5
-# A lost answer is repeated this often; more would outlast a caller.
-_WRITE_TRIES = 3
+# Tries of a write whose answers are lost, 0.8 s each. A caller that hears so
+# within two seconds repeats its call at another daemon.
+_WRITE_TRIES = 2
 # Pause after a refused repetition, so that the store is not pressed.
 _RETRY_S = 0.1
 # The store is asked again after about this time when it turned a call away.
@@ -130,6 +131,7 @@
         store: TransactionalStore,
         cell: Cell,
         links: Links,
+        clock: Clock,
         read_master: Callable[[], Master | None],
         read_config: Callable[[], SiteConfig | None],
     ) -> None:
@@ -141,11 +143,14 @@
         self._store = store
         self._cell = cell
         self._links = links
+        self._clock = clock
         self._read_master = read_master
         self._read_config = read_config
         self.load = Load()
         self._rejected_until_s: float = 0
+        self._unheard_at_s: float = 0
         self._isolated_until_s: float = 0
+        self._trying_count = 0
         self._waiting: list[_Waiting] = []
         self._has_waiting = asyncio.Event()
         self._announcements: set[asyncio.Task[None]] = set()
@@ -168,26 +173,19 @@
         wait_s = wait_before_retry_s(self.load, job)
         if wait_s:
             return await self._refuse_for_load(job, wait_s)
-        verdict = _UNAVAILABLE
-        if time.monotonic() < self._isolated_until_s:
-            return verdict
-        if self._may_write():
-            verdict = await self.submit_here(job)
-            if not self._note(verdict):
-                return verdict
-        return await self._pass_on('submit', SubmitRequest(job=job), verdict)
+        return await self._write_somewhere(
+            lambda: self.submit_here(job),
+            'submit',
+            SubmitRequest(job=job),
+        )
 
     async def cancel(self, job_id: str, queue: str, team: str) -> Verdict:
         """Cancel a job durably."""
-        verdict = _UNAVAILABLE
-        if time.monotonic() < self._isolated_until_s:
-            return verdict
-        if self._may_write():
-            verdict = await self.cancel_here(job_id, queue, team)
-            if not self._note(verdict):
-                return verdict
-        request = CancelRequest(job_id=job_id, queue=queue, team=team)
-        return await self._pass_on('cancel', request, verdict)
+        return await self._write_somewhere(
+            lambda: self.cancel_here(job_id, queue, team),
+            'cancel',
+            CancelRequest(job_id=job_id, queue=queue, team=team),
+        )
 
     async def submit_here(self, job: Job) -> Verdict:
         """Accept a job by a write of this daemon."""
@@ -380,9 +378,46 @@
         except CurrantreachError as error:
             log_event('not_announced', job=job.job_id, error=error)
 
+    async def _write_somewhere(
+        self,
+        write_here: Callable[[], Awaitable[Verdict]],
+        method: str,
+        request: object,
+    ) -> Verdict:
+        """Write by this daemon, or else by another one.
+
+        While neither store nor peers answer, one call at a time tries them
+        and the others are refused at once.
+        """
+        if self._is_isolated():
+            return _UNAVAILABLE
+        self._trying_count += 1
+        try:
+            verdict = _UNAVAILABLE
+            if self._may_write():
+                verdict = await write_here()
+                if not self._note(verdict):
+                    self._isolated_until_s = 0
+                    return verdict
+            return await self._pass_on(method, request, verdict)
+        finally:
+            self._trying_count -= 1
+
+    def _is_isolated(self) -> bool:
+        if not self._isolated_until_s:
+            return False
+        is_paused = self._clock.now_s() < self._isolated_until_s
+        return is_paused or self._trying_count > 0
+
     def _may_write(self) -> bool:
-        """Tell whether the store did not turn this daemon away just now."""
-        return time.monotonic() >= self._rejected_until_s
+        """Tell whether the store is expected to answer this daemon.
+
+        After a refusal it is asked again soon. A silent store is not asked
+        by callers, who would wait for it, until the cell hears from it.
+        """
+        if self._cell.has_store_at_s < self._unheard_at_s:
+            return False
+        return self._clock.now_s() >= self._rejected_until_s
 
     def _note(self, verdict: Verdict) -> bool:
         """Note whether the store answered; return whether it did not."""
@@ -391,7 +426,9 @@
             Outcome.UNKNOWN,
         }
         if is_failed:
-            self._rejected_until_s = time.monotonic() + _REJECTED_S
+            self._rejected_until_s = self._clock.now_s() + _REJECTED_S
+        if verdict.outcome is Outcome.UNKNOWN:
+            self._unheard_at_s = self._clock.now_s()
         return is_failed
 
     async def _pass_on(
@@ -436,10 +473,11 @@
             if passed.outcome is Outcome.UNKNOWN:
                 verdict = passed
             elif passed.outcome is not Outcome.STORE_UNAVAILABLE:
+                self._isolated_until_s = 0
                 return passed
         # Neither the store nor a peer takes anything: the next callers are
         # refused at once instead of after the same timeouts.
-        self._isolated_until_s = time.monotonic() + _ISOLATED_S
+        self._isolated_until_s = self._clock.now_s() + _ISOLATED_S
         return verdict
 
     async def _ask_load(self) -> LoadReply:
--- a/packages/currantreach-jobs/tests/conftest.py
+++ b/packages/currantreach-jobs/tests/conftest.py
@@ -239,6 +239,7 @@
     def __init__(self, store):
         self.store = store
         self.is_rejected = False
+        self.is_silent = False
 
     async def get(self, key):
         return await self._call(self.store.get, key)
@@ -276,6 +277,9 @@
         """Nothing is open."""
 
     async def _call(self, method, *args):
+        if self.is_silent:
+            await asyncio.sleep(0.8)
+            raise LostAnswerError('no answer')
         if self.is_rejected:
             await asyncio.sleep(0.004)
             raise StoreUnavailableError('turned away')
@@ -668,6 +672,7 @@
             store,
             cell,
             links,
+            fleet.clock,
             lambda: host.master,
             lambda: fleet.config,
         )
--- a/packages/currantreach-jobs/tests/test_passing_on.py
+++ b/packages/currantreach-jobs/tests/test_passing_on.py
@@ -106,3 +106,33 @@
         assert fleet.clock.now_s() == began_s
 
     play(scenario)
+
+
+def test_silent_store_holds_up_few_callers(play, job, wait_until):
+    """In a cut domain callers waited until their deadlines, one after another.
+
+    A call that finds the store silent tells those after it.
+    """
+
+    async def scenario(fleet, site):
+        host = site.start('a')
+        await wait_until(lambda: host.cell.leader)
+        await asyncio.sleep(1)
+        host.store.is_silent = True
+        first = asyncio.ensure_future(host.intake.submit(job('5' * 16)))
+        await asyncio.sleep(2.5)
+        assert first.done()
+        waits_s = []
+        for number in range(30):
+            began_s = fleet.clock.now_s()
+            verdict = await host.intake.submit(job(f'{number:016x}'))
+            waits_s.append(fleet.clock.now_s() - began_s)
+            assert verdict.outcome is Outcome.STORE_UNAVAILABLE
+            await asyncio.sleep(0.1)
+        assert max(waits_s) < 0.1
+        host.store.is_silent = False
+        await asyncio.sleep(3)
+        verdict = await host.intake.submit(job('6' * 16))
+        assert verdict.outcome is Outcome.ACCEPTED
+
+    play(scenario)
