Give each seed of the soak ports of its own

Cause: seeds 1 and 3 reported accepted jobs as unknown. The port of a daemon that was killed was taken by a daemon of another seed that ran beside it, which answered for a cell that did not have the job, and the killed one could not start again.

Change: each seed and process takes its ports from a range of its own, below those that the kernel hands out.

--- a/tests/soak/_site.py
+++ b/tests/soak/_site.py
@@ -4,14 +4,16 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
+import os
 import random
 import shutil
 
 import attrs
 from aiohttp import web
 
-from testbed import Relay, free_ports
+from testbed import Relay
 from tests.soak._callers import HOST, Callers
 from tests.soak._daemons import Daemon
 from tests.soak._faults import Faults
@@ -24,6 +26,11 @@
 _RATE = 8
 _LIMITS = {'limited': 16000}
 _START_S = 3
+# Ports below those that the kernel hands out, with a range for each seed and
+# process: nobody else may take the port of a daemon that was killed.
+_FIRST_PORT = 10000
+_RANGES = 400
+_RANGE_SIZE = 50
 # Leases of 6 s, an election and the jobs that wait end well within this time.
 _SETTLE_S = 40
 
@@ -65,6 +72,8 @@
         self.frontends = []
         self._runners = []
         self._tasks = []
+        number = (os.getpid() * 7 + seed) % _RANGES
+        self._ports = itertools.count(_FIRST_PORT + number * _RANGE_SIZE)
 
     async def open(self):
         """Start the stand-ins and the daemons."""
@@ -96,7 +105,7 @@
     async def _add_daemon(self, name, store_port, advice_port):
         relay = await self._relay(store_port)
         self.store_relays.append(relay)
-        link, frontend, ready = free_ports(3)
+        link, frontend, ready = (next(self._ports) for _ in range(3))
         daemon = Daemon(
             name,
             self.folder,
@@ -117,7 +126,7 @@
         )
         await runner.setup()
         self._runners.append(runner)
-        port = free_ports(1)[0]
+        port = next(self._ports)
         await web.TCPSite(runner, '127.0.0.1', port).start()
         return port
 
