--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -6,6 +6,7 @@
 import asyncio
 import logging
 import pathlib
+import signal
 import sys
 
 from tests.soak._site import play_seed
@@ -14,6 +15,12 @@
 
 
 async def _play(seeds, parallel, seconds):
+    playing = asyncio.current_task()
+    # A stopped soak ends the processes that it started.
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGTERM,
+        playing.cancel,
+    )
     gate = asyncio.Semaphore(parallel)
 
     async def one(seed):
