Stop waiting for an earlier leader that a worker no longer obeys

The leader had adopted the worker a second before, but waited until the leader before it could have held the worker for the last time (6 s) and that lease was over (9 s, since leases are longer).

Change: from the first answer of a worker on no earlier leader counts, so that its runs are given up one lease after the last hold of the present leader. A leader that lost the store holds its workers for 4 s instead of 6, so that a successor waits no longer than before at workers that it does not reach. A test failed before.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_terms.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_terms.py
@@ -30,7 +30,8 @@
         and most cuts of a failure domain, after which the runs go on; the
         tasks of a worker that is lost wait for its end.
     :ivar hold_grace_s: how long a leader that lost the store keeps the runs
-        of its workers alive. A store outage of a few seconds ends no run.
+        of its workers alive. A store outage of five seconds costs no lead. A
+        successor waits for it at workers that it does not reach.
     :ivar clock_slack: fraction by which a worker's clock may be slow.
     :ivar hold_wait_s: how long a worker may wait for an end before it
         answers; the lease is renewed that often.
@@ -47,7 +48,7 @@
     leader_renew_s: float = 0.35
     member_lease_s: float = 6
     run_lease_s: float = 8
-    hold_grace_s: float = 6
+    hold_grace_s: float = 4
     clock_slack: float = 0.03
     hold_wait_s: float = 1
     call_timeout_s: float = 0.7
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -217,6 +217,12 @@
 
     def _absorb(self, reply: HoldReply, sent_at_s: float) -> None:
         now_s = self._clock.now_s()
+        if not self._born_unix_ms:
+            # From here on the worker obeys no earlier leader.
+            self.lease_over_s = min(
+                self.lease_over_s,
+                now_s + self._settings.longest_lease_s,
+            )
         if reply.born_unix_ms != self._born_unix_ms:
             self._note_birth(reply)
         self._clock_ms = reply.clock_ms
--- a/packages/currantreach-jobs/tests/test_restarts.py
+++ b/packages/currantreach-jobs/tests/test_restarts.py
@@ -233,3 +233,38 @@
         assert jobs['5' * 16].state == 'complete'
 
     play(scenario)
+
+
+def test_worker_lost_after_a_takeover_is_not_waited_for_twice(
+    play,
+    job,
+    wait_until,
+):
+    """A successor waited for the earlier leader though it had fenced it off.
+
+    Tasks of a worker that was lost right after its adoption stood still for
+    15 s on a fleet with room.
+    """
+
+    async def scenario(fleet, site):
+        worker = fleet.add('w1')
+        fleet.work_s = 60
+        host = site.start('a')
+        await host.intake.submit(job('6' * 16))
+        await wait_until(lambda: fleet.starts)
+        host.kill()
+        again = site.start('a')
+        await wait_until(
+            lambda: again.master and again.master._sessions['w1'].is_adopted,
+        )
+        fleet.add('w2')
+        worker.silent = True
+        lost_at_s = fleet.clock.now_s()
+        await wait_until(lambda: len(fleet.starts) == 2)
+        waited_s = fleet.clock.now_s() - lost_at_s
+        settings = site.settings
+        # The last hold is sent when the one before has waited for an end.
+        last_hold_s = settings.hold_wait_s + 1
+        assert waited_s < settings.longest_lease_s + last_hold_s
+
+    play(scenario)
