--- a/packages/currantreach-jobs/src/currantreach_jobs/_intake.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_intake.py
@@ -141,6 +141,7 @@
         if wait_s:
             return await self._refuse_for_load(job, wait_s)
         return await self._write_somewhere(
+            job.job_id,
             lambda: self.submit_here(job),
             'submit',
             SubmitRequest(job=job),
@@ -149,6 +150,7 @@
     async def cancel(self, job_id: str, queue: str, team: str) -> Verdict:
         """Cancel a job durably."""
         return await self._write_somewhere(
+            job_id,
             lambda: self.cancel_here(job_id, queue, team),
             'cancel',
             CancelRequest(job_id=job_id, queue=queue, team=team),
@@ -284,6 +286,7 @@
 
     async def _write_somewhere(
         self,
+        job_id: str,
         write_here: Callable[[], Awaitable[Verdict]],
         method: str,
         request: object,
@@ -294,6 +297,7 @@
         and the others are refused at once.
         """
         if self._is_isolated():
+            log_event('refused_isolated', job=job_id, method=method)
             return _UNAVAILABLE
         self._trying_count += 1
         try:
