--- a/packages/currantreach-jobs/tests/test_slow_store.py
+++ b/packages/currantreach-jobs/tests/test_slow_store.py
@@ -45,16 +45,26 @@
     return Tenure(epoch=1, revision=0, valid_until_s=1e9, began_at_s=0)
 
 
-def test_record_waits_for_no_other_job(play, job, wait_until, tenure):
-    """A job whose record is written need not wait for those of others."""
+@pytest.fixture
+def commit(job, tenure):
+    """Return a function that starts a committer of some jobs."""
 
-    async def scenario(fleet, _):
+    def start(fleet, job_ids):
         committer = Committer(fleet.store, tenure, fleet.clock)
         committer.jobs = {
             name: JobProgress(job=job(name), first_attempt=0, accepted_at_s=0)
-            for name in JOB_IDS
+            for name in job_ids
         }
-        writing = asyncio.ensure_future(committer.run())
+        return committer, asyncio.ensure_future(committer.run())
+
+    return start
+
+
+def test_record_waits_for_no_other_job(play, commit):
+    """A job whose record is written need not wait for those of others."""
+
+    async def scenario(fleet, _):
+        committer, writing = commit(fleet, JOB_IDS)
         began_s = fleet.clock.now_s()
         committer.mark('j0')
         await asyncio.sleep(0.001)
@@ -72,14 +82,11 @@
     play(scenario)
 
 
-def test_change_during_a_write_is_written_as_well(play, job, tenure):
+def test_change_during_a_write_is_written_as_well(play, commit):
     """A change that comes while a record is in flight must not be lost."""
 
     async def scenario(fleet, _):
-        committer = Committer(fleet.store, tenure, fleet.clock)
-        progress = JobProgress(job=job('j'), first_attempt=0, accepted_at_s=0)
-        committer.jobs = {'j': progress}
-        writing = asyncio.ensure_future(committer.run())
+        committer, writing = commit(fleet, ['j'])
         committer.mark('j')
         await asyncio.sleep(0.002)
         committer.mark('j')
@@ -91,14 +98,11 @@
     play(scenario)
 
 
-def test_outage_keeps_changes(play, job, tenure):
+def test_outage_keeps_changes(play, commit):
     """Changes that the store refused are written once it is back."""
 
     async def scenario(fleet, _):
-        committer = Committer(fleet.store, tenure, fleet.clock)
-        progress = JobProgress(job=job('j'), first_attempt=0, accepted_at_s=0)
-        committer.jobs = {'j': progress}
-        writing = asyncio.ensure_future(committer.run())
+        committer, writing = commit(fleet, ['j'])
         fleet.store.is_down = True
         committer.mark('j')
         await asyncio.sleep(1)
