--- a/packages/currantreach-jobs/src/currantreach_jobs/_commits.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_commits.py
@@ -256,7 +256,7 @@
         else:
             self._note_written(counts, states, revision)
         for job_id in batch:
-            self._land(job_id)
+            self._requeue(job_id)
 
     def _writes_of(self, batch: Sequence[str]) -> list[Write]:
         writes: list[Write] = []
@@ -269,7 +269,7 @@
                 writes.append(Write(key=job_key(job_id), stored=ended))
         return writes
 
-    def _land(self, job_id: str) -> None:
+    def _requeue(self, job_id: str) -> None:
         """Queue a job again that changed or failed while in flight."""
         entry = self._entries.get(job_id)
         if entry is None:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -93,6 +93,7 @@
         self._confirmed_deadline_ms = 0
         self._latest_deadline_ms = 0
         self._void_until_s: float = 0
+        # Whether the listed ends are known to count, or not to.
         self._is_sure = False
         self._orders: set[asyncio.Task[None]] = set()
 
