Note no lease for ends from before a lapse

Cause, found by reading: after the lease of a worker had run out, the leader went on noting the end of the next one before the worker had forgotten the void ends. A successor of just that moment would have taken them for good ones.

The test failed before; 66 tests of jobs pass.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -188,6 +188,8 @@
                 default=self._noted_through,
             )
             self._board.lose_worker(self.worker_id)
+            # A successor must not trust the void ends before they are gone.
+            self._confirmed_deadline_ms = 0
             self._sure_deadline_ms = reply.clock_ms + _FIRST_LEASE_MS
             self._latest_deadline_ms = self._sure_deadline_ms
             self._is_silent = False
--- a/packages/currantreach-jobs/tests/test_worker_session.py
+++ b/packages/currantreach-jobs/tests/test_worker_session.py
@@ -7,7 +7,14 @@
 import attrs
 import pytest
 
-from currantreach_jobs import HoldReply, JobSettings, RunningRun, StartAnswer
+from currantreach_jobs import (
+    EndedRun,
+    EndKind,
+    HoldReply,
+    JobSettings,
+    RunningRun,
+    StartAnswer,
+)
 from currantreach_jobs._board import Board
 from currantreach_jobs._terms import Tenure
 from currantreach_jobs._worker_session import WorkerSession
@@ -144,3 +151,21 @@
     await bench.hold(HoldReply(clock_ms=21000, born_unix_ms=1))
     assert stage.waiting == {0}
     assert not stage.done_count
+
+
+async def test_lapsed_lease_is_not_noted_for_successors(bench, job):
+    """A successor took ends from before a lapse for ends under a lease."""
+    bench.board.add_job(job('3' * 16))
+    stage = bench.board.jobs['3' * 16].stages[0, 0]
+    run = bench.board.begin(stage, 0, 'w1', 1)
+    bench.board.confirm(run)
+    await bench.hold(HoldReply(clock_ms=1010, born_unix_ms=1))
+    assert bench.session.lease.deadline_ms > 1010
+    await bench.hold(LostAnswerError('silent'))
+    bench.clock.advance(20)
+    done = EndedRun(number=1, task=run.task, attempt=1, kind=EndKind.DONE)
+    await bench.hold(
+        HoldReply(clock_ms=21000, born_unix_ms=1, ended=(done,)),
+    )
+    assert bench.session.lease is None
+    assert not stage.done_count
