Log which steps are done, where they started, and which ends are dropped

Change: stage_started names the workers, stage_done tells that a step is over, end_dropped each end that does not count, with its reason and a counter, and worker_ends_unsure and lease_lapsed the clock and the deadline that decided. A method of the board that nothing called is removed.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_board.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_board.py
@@ -25,7 +25,7 @@
     )
     from currantreach_jobs._records import ProgressRecord
     from currantreach_telemetry import Metrics
-    from currantreach_types import Clock, Resources
+    from currantreach_types import Clock
 
 __all__ = ('Board',)
 
@@ -69,10 +69,6 @@
         self.to_stop = []
         return runs
 
-    def room_of(self, worker_id: str) -> Resources:
-        """Return the whole room of a worker."""
-        return self.rooms[worker_id].report.room
-
     def add_job(
         self,
         job: Job,
@@ -304,6 +300,22 @@
         elif stage.step.is_gang:
             self.stop_stage(stage)
 
+    def drop_end(self, worker_id: str, ended: EndedRun, reason: str) -> None:
+        """Note that an end which a worker lists does not count."""
+        if self.stage_of(ended.task) is None:
+            return
+        self._metrics.retried(f'end_dropped_{reason}')
+        log_event(
+            'end_dropped',
+            job=ended.task.job_id,
+            step=ended.task.step,
+            task=ended.task.index,
+            attempt=ended.attempt,
+            kind=ended.kind.value,
+            worker=worker_id,
+            reason=reason,
+        )
+
     def ready_stages(self) -> Iterator[Stage]:
         """Yield all stages with tasks that may be started."""
         unix_ms = unix_now_ms()
@@ -341,6 +353,14 @@
         else:
             stage.finish(ended.task.index)
         self._mark_changed(progress.job.job_id)
+        if stage.is_done:
+            log_event(
+                'stage_done',
+                job=progress.job.job_id,
+                step=stage.number,
+                attempt=ended.attempt,
+                worker=worker_id,
+            )
         if progress.is_all_done():
             self._end_job(progress, JobState.COMPLETE)
         self._wake()
--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -183,6 +183,9 @@
             step=stage.number,
             tasks=len(assigned),
             left=len(stage.waiting),
+            workers=','.join(
+                sorted({room.report.worker_id for _, room in assigned}),
+            ),
             waited_s=round(waited_s, 3),
         )
 
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -182,11 +182,13 @@
         if reply.running or reply.clock_ms <= self._sure_deadline_ms:
             return False
         if reply.clock_ms > self._latest_deadline_ms:
-            log_event('lease_lapsed', worker=self.worker_id)
-            self._noted_through = max(
-                (ended.number for ended in reply.ended),
-                default=self._noted_through,
+            log_event(
+                'lease_lapsed',
+                worker=self.worker_id,
+                clock_ms=reply.clock_ms,
+                latest_deadline_ms=self._latest_deadline_ms,
             )
+            self._drop_ends(reply, 'lease_lapsed')
             self._board.lose_worker(self.worker_id)
             # A successor must not trust the void ends before they are gone.
             self._confirmed_deadline_ms = 0
@@ -273,18 +275,29 @@
         if self._void_until_s:
             if now_s < self._void_until_s:
                 return
-            self._noted_through = max(
-                (ended.number for ended in reply.ended),
-                default=0,
-            )
+            self._drop_ends(reply, 'lease_unknown')
         elif not self._has_sure_ends(reply):
             if self._board.is_complete.is_set():
                 self._void_until_s = now_s + self._settings.longest_lease_s
-                log_event('worker_ends_unsure', worker=self.worker_id)
+                log_event(
+                    'worker_ends_unsure',
+                    worker=self.worker_id,
+                    clock_ms=reply.clock_ms,
+                    noted=self._inherited,
+                    ended=len(reply.ended),
+                    wait_s=round(self._settings.longest_lease_s, 2),
+                )
             return
         self._is_sure = True
         self._sure_deadline_ms = reply.clock_ms + _FIRST_LEASE_MS
 
+    def _drop_ends(self, reply: HoldReply, reason: str) -> None:
+        """Let the worker forget ends that do not count."""
+        for ended in reply.ended:
+            if ended.number > self._noted_through:
+                self._noted_through = ended.number
+                self._board.drop_end(self.worker_id, ended, reason)
+
     def _adopt(self, reply: HoldReply) -> None:
         """Take over what runs."""
         self.is_adopted = True
