--- /dev/null
+++ b/packages/currantreach-jobs/tests/test_ends.py
@@ -0,0 +1,92 @@
+"""Ends that no leader could write, through outages and changes of the leader.
+
+Pattern: the store is silent for longer than a leader keeps its lead, tasks
+end meanwhile, and their workers list the ends to each successor.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+
+from currantreach_jobs import Step
+from currantreach_types import Resources
+
+# A ready leader has adopted a worker that answers, and started what waits
+# there, within this time: two rounds of calls and a write.
+NEXT_START_S = 1
+# The leader holds its workers for 4.4 s without the store, so that their
+# leases last longer than those that it could note.
+OUTAGE_S = 6
+NEEDED = Resources(cpu_milli=1000, memory_mib=1000)
+
+
+def two_steps(job):
+    """Return a job whose second step waits for a gang of two tasks."""
+    return attrs.evolve(
+        job('0' * 16),
+        steps=(
+            Step(task_count=2, needed=NEEDED, is_gang=True),
+            Step(task_count=1, needed=NEEDED, after=(0,)),
+        ),
+    )
+
+
+def steps_started(fleet):
+    """Return the numbers of the steps in the order of their starts."""
+    return [order.task.step for _, order in fleet.starts]
+
+
+def test_done_step_is_not_run_again_after_two_takeovers(play, job, wait_until):
+    """A step that was done in an outage ran again, its successor waited.
+
+    Two leaders in turn could not prove that the lease of the worker had not
+    run out since, left it alone for 7 s each, and dropped the ends.
+    """
+
+    async def scenario(fleet, site):
+        fleet.add('w1')
+        fleet.work_s = 1
+        site.start('a')
+        first = site.hosts['a']
+        await wait_until(lambda: first.master and first.master.is_ready)
+        await asyncio.sleep(3)
+        await first.intake.submit(two_steps(job))
+        await wait_until(lambda: len(fleet.starts) == 2)
+        fleet.store.is_down = True
+        await asyncio.sleep(OUTAGE_S)
+        fleet.store.is_down = False
+        second = site.start('b')
+        await wait_until(lambda: first.master or second.master)
+        await asyncio.sleep(0.1)
+        first.kill()
+        second.kill()
+        third = site.start('c')
+        await wait_until(lambda: third.master and third.master.is_ready)
+        await wait_until(lambda: 1 in steps_started(fleet), NEXT_START_S)
+        assert steps_started(fleet) == [0, 0, 1]
+
+    play(scenario)
+
+
+def test_end_of_a_worker_that_was_given_up_counts(play, job, wait_until):
+    """A task that was done on a silent worker was run to its end elsewhere."""
+
+    async def scenario(fleet, site):
+        silent = fleet.add('w1')
+        fleet.work_s = 1
+        host = site.start('a')
+        await host.intake.submit(two_steps(job))
+        await wait_until(lambda: len(fleet.starts) == 2)
+        silent.silent = True
+        other = fleet.add('w2')
+        fleet.work_s = 30
+        await wait_until(lambda: len(fleet.starts) == 4)
+        silent.silent = False
+        await wait_until(lambda: 1 in steps_started(fleet), NEXT_START_S + 1)
+        await asyncio.sleep(1)
+        assert steps_started(fleet) == [0, 0, 0, 0, 1]
+        assert 0 not in {task.step for task, _ in other.running}
+
+    play(scenario)
