Wait for the lease of a held worker instead of looking once

The test looked 0.3 s after the election; the second call to the worker, the first with a new lease, comes 0.31 s after it.

--- a/packages/currantreach-jobs/tests/test_restarts.py
+++ b/packages/currantreach-jobs/tests/test_restarts.py
@@ -66,12 +66,12 @@
         await deciding.intake.submit(job('1' * 16, count=2))
         await wait_until(lambda: len(fleet.starts) == 2)
         deciding.kill()
-        held_until_ms = fleet.workers['w1'].deadline_ms
+        worker = fleet.workers['w1']
+        held_until_ms = worker.deadline_ms
         fleet.store.list_delay_s = _PAGE_S
         await wait_until(lambda: idle.master)
-        await asyncio.sleep(0.3)
+        await wait_until(lambda: worker.deadline_ms > held_until_ms, 1)
         assert not idle.master.is_ready
-        assert fleet.workers['w1'].deadline_ms > held_until_ms
         await wait_until(lambda: idle.master.is_ready)
         took = idle.master.tenure.began_at_s
         jobs = idle.master.board.jobs
