Test a cancellation that comes before the recording of its request

Callers saw: in proofs/test_workers.py::test_wave_of_cancellations_during_starts some requests that were accepted and cancelled had no final answer within 60 s.

Cause: Owner.submit adds the request and leaves the recording to a new task, which notes that the request is being recorded only when it first runs. A cancellation that is handled in between finds nothing to wait for and ends the request.

--- a/packages/currantreach-daemon/tests/test_owner.py
+++ b/packages/currantreach-daemon/tests/test_owner.py
@@ -276,6 +276,33 @@
     simulate(scenario)
 
 
+@pytest.mark.parametrize('fault', [None, 'down', 'lost', 'late'])
+def test_cancel_before_recording(simulate, fault):
+    """A cancelled request is told as accepted for ever, or runs later (P6).
+
+    The cancellation arrives after the submission, and before the task that
+    records the submission has run for the first time.
+    """
+
+    async def scenario(cell):
+        cell.closed = set(cell.workers)
+        cell.list_hosts()
+        cell.journal.faults.append(fault)
+        spec = cell.spec()
+        submitted = asyncio.create_task(cell.submit(spec))
+        await asyncio.sleep(0)
+        cell.owner.cancel([spec.request_id], 'tine')
+        await submitted
+        answer = await cell.final(spec.request_id)
+        assert (answer.state, answer.reason) == ('not_run', 'cancelled')
+        cell.closed = set()
+        await cell.replace_owner()
+        await asyncio.sleep(3)
+        assert not cell.starts
+
+    simulate(scenario)
+
+
 @pytest.mark.parametrize('fault', ['lost', 'cut', 'down', 'stopped'])
 def test_gang(simulate, fault):
     """A gang that loses one task hangs, or runs one task twice (P2)."""
