Mark a request as being recorded before anything else can run

Callers saw: a request that was cancelled as it was submitted was told as accepted for ever, although its owner had ended it as not run.

Cause: the mark that a request is being recorded was set by the task that records it, when that task first ran. An end that came before was published at once instead of waiting for the outcome of the recording, which then changed the final answer.

Change: the mark is set where the task is made, in the same step of the event loop in which the request is added.

Evidence: packages/currantreach-daemon/tests/test_owner.py::test_cancel_before_recording failed in three of four cases before and passes; it also checks that a successor starts nothing; before, it started a task of a request without an id. 187 tests of the daemon and state packages pass. proofs/test_workers.py::test_wave_of_cancellations_during_starts, three at a time: 3 of 24 runs failed before (in each, all lost requests were of this kind), 0 of 48 after.

--- a/packages/currantreach-daemon/src/currantreach_daemon/_owner.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_owner.py
@@ -127,10 +127,9 @@
             return entry.answer
         self._starts.note_request(entry)
         if entry.is_durable:
-            recording = self._starts.record_accepted(entry)
             # The caller may go away, and the owner may end; neither leaves
             # the record half-made or the caller without an answer.
-            await asyncio.wait((self._state.spawn(recording),))
+            await asyncio.wait((self._starts.record_accepted(entry),))
         self._state.wakeup.set()
         return entry.answer
 
--- a/packages/currantreach-daemon/src/currantreach_daemon/_starts.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_starts.py
@@ -69,21 +69,14 @@
         else:
             self._send(entry, placement)
 
-    async def record_accepted(self, entry: RequestEntry) -> None:
-        """Record a durable request, or refuse it."""
+    def record_accepted(self, entry: RequestEntry) -> asyncio.Task[None]:
+        """Begin to record a durable request, which is refused on failure.
+
+        From now on, an end waits until it is known whether the journal holds
+        the request.
+        """
         entry.is_recording = True
-        try:
-            await self._state.append(entry, RecordKind.accepted)
-        except LostAnswerError:
-            entry.answer = attrs.evolve(
-                entry.answer,
-                reason='store_answer_lost',
-            )
-            self._state.spawn(self._settle_accepted(entry))
-        except (PlatformError, MalformedMessageError) as exc:
-            self._withdraw(entry, _refusal_of(exc))
-        else:
-            self.note_recorded(entry)
+        return self._state.spawn(self._record_accepted(entry))
 
     def note_recorded(self, entry: RequestEntry) -> None:
         """Start, or end, what waited for the record."""
@@ -197,6 +190,20 @@
         else:
             link.start(placement)
 
+    async def _record_accepted(self, entry: RequestEntry) -> None:
+        try:
+            await self._state.append(entry, RecordKind.accepted)
+        except LostAnswerError:
+            entry.answer = attrs.evolve(
+                entry.answer,
+                reason='store_answer_lost',
+            )
+            self._state.spawn(self._settle_accepted(entry))
+        except (PlatformError, MalformedMessageError) as exc:
+            self._withdraw(entry, _refusal_of(exc))
+        else:
+            self.note_recorded(entry)
+
     async def _prepare_start(
         self,
         entry: RequestEntry,
