Answer an operator's change within one bound

Callers can see: a call that applies a configuration ends without an answer, because the operator gives up first.

Cause: the wait until a change is in force began anew after the change was written or a repeated call was looked up, and writing, up to four attempts of several calls of the store, had no bound of its own.

Change: looking up, writing and waiting share one bound of 8 s. A write that is not done by then goes on in the background, since it may take effect, and the operator is told that its outcome is not known.

Evidence: three tests in virtual time failed with "11.99 < 10", "19.99 < 10" and "10.99 < 10" and pass. test_missing_domain follows the new name of the bound.

--- a/packages/currantreach-daemon/src/currantreach_daemon/_config_admin.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_config_admin.py
@@ -35,8 +35,13 @@
     read_body,
 )
 from currantreach_daemon._requests import not_run_answer
+from currantreach_telemetry import log_problem
 from currantreach_types import Refusal, decode_strict_json, refusals
-from currantreach_types.errors import ConflictError, MalformedMessageError
+from currantreach_types.errors import (
+    ConflictError,
+    LostAnswerError,
+    MalformedMessageError,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -48,7 +53,9 @@
 
 __all__ = ('ConfigAdmin',)
 
-_IN_FORCE_TIMEOUT_S = 8
+# Writing a change and waiting until it is in force share this time, since
+# callers give up after 10 s.
+_ANSWER_TIMEOUT_S = 8
 _IN_FORCE_POLL_S = 0.05
 _CHANGE_ID_BYTES = 8
 _CONFIG = '/v1/admin/config'
@@ -98,6 +105,7 @@
         self._gate = gate
         self._keeper = keeper
         self._overview = overview
+        self._writes: set[asyncio.Task[None]] = set()
 
     def routes(self) -> Sequence[web.AbstractRouteDef]:
         """Return all routes."""
@@ -161,9 +169,10 @@
         author = self._author_of(request, cell)
         if isinstance(author, Refusal):
             return answer_response(not_run_answer('', author))
+        end_s = _answer_end_s()
         record = self._keeper.record
         if record is not None and record.change_id == body.change_id:
-            return await self._confirm(record.revision)
+            return await self._confirm(record.revision, end_s)
         change_id = body.change_id or _new_change_id()
         if record is None:
             following = first_record(cell, change_id=change_id, author=author)
@@ -177,7 +186,9 @@
         if following.revision == body.expected_revision + 1:
             return await self._write(following)
         written = await self._revision_of(body.change_id)
-        return await self._confirm(written) if written else _lost_to(record)
+        if not written:
+            return _lost_to(record)
+        return await self._confirm(written, end_s)
 
     async def list_keys(
         self,
@@ -267,20 +278,36 @@
         return 0
 
     async def _write(self, record: ConfigRecord) -> web.Response:
+        end_s = _answer_end_s()
+        writing = asyncio.create_task(
+            self._keeper.write(record, record.revision - 1),
+        )
+        self._writes.add(writing)
+        writing.add_done_callback(self._note_written)
+        # A write that was given up half-way could still take effect, so it
+        # goes on without the caller.
+        await asyncio.wait((writing,), timeout=_left_s(end_s))
+        if not writing.done():
+            raise LostAnswerError(
+                'the store is slow, and it is not known yet whether the '
+                + 'change was written',
+            )
         try:
-            await self._keeper.write(record, record.revision - 1)
+            writing.result()
         except ConflictError:
             return _lost_to(self._keeper.record)
-        return await self._confirm(record.revision)
+        return await self._confirm(record.revision, end_s)
 
-    async def _confirm(self, revision: int) -> web.Response:
+    def _note_written(self, writing: asyncio.Task[None]) -> None:
+        self._writes.discard(writing)
+        error = None if writing.cancelled() else writing.exception()
+        if error is not None and not isinstance(error, ConflictError):
+            log_problem('config_write_failed', error=error)
+
+    async def _confirm(self, revision: int, end_s: float) -> web.Response:
         missing = self._overview.missing(revision)
-        try:
-            async with asyncio.timeout(_IN_FORCE_TIMEOUT_S):
-                while missing:
-                    await asyncio.sleep(_IN_FORCE_POLL_S)
-                    missing = self._overview.missing(revision)
-        except TimeoutError:
+        while missing and _left_s(end_s):
+            await asyncio.sleep(_IN_FORCE_POLL_S)
             missing = self._overview.missing(revision)
         return json_response(
             {
@@ -305,6 +332,15 @@
         return record
 
 
+def _answer_end_s() -> float:
+    """Return the time by which an operator's call has to be answered."""
+    return asyncio.get_running_loop().time() + _ANSWER_TIMEOUT_S
+
+
+def _left_s(end_s: float) -> float:
+    return max(float(0), end_s - asyncio.get_running_loop().time())
+
+
 def _lost_to(record: ConfigRecord | None) -> web.Response:
     return json_response(
         {
--- /dev/null
+++ b/packages/currantreach-daemon/tests/test_config_admin.py
@@ -0,0 +1,134 @@
+"""Tests of the time in which operators get an answer."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import json
+
+import attrs
+import pytest
+
+from currantreach_config import KeyRole, check_documents, first_record, new_key
+from currantreach_daemon._config_admin import ConfigAdmin
+from currantreach_daemon._gate import Gate
+from currantreach_daemon._replies import GUARD
+from currantreach_state import ConfigKeeper
+from currantreach_types import encode_json
+from currantreach_types.errors import LostAnswerError
+from testbed.virtual_time import LoopClock
+
+# Operators give up after this time.
+PATIENCE_S = 10
+_TOKEN, _KEY = new_key('', KeyRole.operator)
+_BASE = {
+    'site': 'site-one',
+    'teams': [],
+    'queues': [],
+    'keys': [json.loads(encode_json(_KEY))],
+}
+
+
+@attrs.define
+class Call:
+    """A call of an operator, with the body that the guard reads."""
+
+    body: dict
+    headers: dict = {'Authorization': f'Bearer {_TOKEN}'}
+
+    @property
+    def app(self):
+        """Return the application with the guard."""
+        return {GUARD: self}
+
+    async def read_body(self, _request):
+        """Return the body."""
+        return json.dumps(self.body).encode()
+
+
+class Overview:
+    """Overview of a cell in which one failure domain stays behind."""
+
+    def in_force(self):
+        return {}
+
+    def missing(self, revision):
+        return ['far']
+
+
+def slow_down(store, delay_s):
+    """Let each call of a store take a time."""
+    for name in ('get', 'put', 'list_prefix'):
+        called = getattr(store, name)
+        setattr(store, name, functools.partial(call_late, called, delay_s))
+
+
+async def call_late(called, delay_s, *fields):
+    """Call after a time."""
+    await asyncio.sleep(delay_s)
+    return await called(*fields)
+
+
+@pytest.fixture
+def apply(new_loop, new_store):
+    """Return a function that applies a change on top of another one.
+
+    It returns the answer, if it is known, the time that the call took, and
+    the revision in the store once the call has had time to take effect.
+    """
+
+    async def applied(delay_s, **fields):
+        clock = LoopClock(asyncio.get_running_loop())
+        store = new_store(clock)
+        cell = check_documents(json.dumps(_BASE).encode(), [])
+        past = first_record(cell, change_id='first', author='x')
+        record = attrs.evolve(past, revision=2, change_id='second')
+        await store.put('config/history/000000001', encode_json(past), 0)
+        await store.put('config/current', encode_json(record), 0)
+        keeper = ConfigKeeper(store, clock, 1000)
+        await keeper.poll()
+        slow_down(store, delay_s)
+        admin = ConfigAdmin(Gate(keeper, clock), keeper, Overview())
+        routes = {route.path: route.handler for route in admin.routes()}
+        began_s = clock.now_s()
+        try:
+            response = await routes['/v1/admin/config/apply'](
+                Call({'base': _BASE, **fields}),
+            )
+        except LostAnswerError:
+            answer = None
+        else:
+            answer = json.loads(response.body)
+        took_s = clock.now_s() - began_s
+        await asyncio.sleep(100)
+        stored = json.loads(store.peek('config/current').stored)
+        return answer, took_s, stored['revision']
+
+    def run(*args, **fields):
+        with asyncio.Runner(loop_factory=new_loop) as runner:
+            return runner.run(applied(*args, **fields))
+
+    return run
+
+
+def test_slow_write(apply):
+    """Waiting for a domain begins anew after a slow write (P5)."""
+    answer, took_s, stored = apply(1, expected_revision=2)
+    assert took_s < PATIENCE_S
+    assert (answer['revision'], answer['missing']) == (3, ['far'])
+    assert stored == 3
+
+
+def test_write_without_end(apply):
+    """A caller waits as long as the store does, or the write is lost (P5)."""
+    answer, took_s, stored = apply(3, expected_revision=2)
+    assert took_s < PATIENCE_S
+    assert answer is None
+    assert stored == 3
+
+
+def test_slow_repeat(apply):
+    """Looking a repeated call up leaves no time to confirm it (P5)."""
+    answer, took_s, _stored = apply(3, change_id='first')
+    assert took_s < PATIENCE_S
+    assert answer['revision'] == 1
--- a/packages/currantreach-daemon/tests/test_http.py
+++ b/packages/currantreach-daemon/tests/test_http.py
@@ -393,7 +393,7 @@
 async def test_missing_domain(site, monkeypatch):
     """A change is reported in effect while a failure domain is behind."""
     monkeypatch.setattr(
-        'currantreach_daemon._config_admin._IN_FORCE_TIMEOUT_S', 0.05
+        'currantreach_daemon._config_admin._ANSWER_TIMEOUT_S', 0.05
     )
     site.overview.behind = ['far']
     status, answer = await site.apply(expected_revision=1)
