Read the body of each call before its handler runs

Callers saw, in a test: a call with a body whose handler has no use for one, such as a GET for an answer or the draining of a worker, lost its connection without an answer when it took longer than the 5 s in which a body has to arrive.

Cause: the guard of connections counts a connection as one that still sends its body until someone reads the body.

Change: the body is read before the handler is called, after the refusals that need none.

Evidence: test_body_without_use failed with "ServerDisconnectedError: Server disconnected" and passes.

--- a/packages/currantreach-daemon/src/currantreach_daemon/_http_errors.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_http_errors.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 
 from currantreach_config import ConfigurationFaultsError
-from currantreach_daemon._replies import json_response
+from currantreach_daemon._replies import json_response, read_body
 from currantreach_daemon._requests import not_run_answer
 from currantreach_telemetry import log_event
 from currantreach_types import Answer, RequestState, refusals
@@ -93,6 +93,10 @@
                 may_have_run=True,
             )
         try:
+            if request.can_read_body:
+                # A connection whose body is awaited is closed in time, also
+                # while a handler runs that has no use for the body.
+                await read_body(request)
             return await handler(request)
         except web.HTTPRequestEntityTooLarge:
             return self._refused(
--- a/packages/currantreach-daemon/tests/test_http.py
+++ b/packages/currantreach-daemon/tests/test_http.py
@@ -15,6 +15,7 @@
 from currantreach_config import KeyRole, check_documents, first_record, new_key
 from currantreach_daemon._gate import Gate
 from currantreach_daemon._http import HttpServer
+from currantreach_daemon._replies import GUARD
 from currantreach_daemon._shedding import Shedder
 from currantreach_platform import Store
 from currantreach_state import ConfigKeeper
@@ -390,6 +391,27 @@
     )
 
 
+async def test_body_without_use(site, monkeypatch):
+    """A call is cut off because its handler does not read the body (P5)."""
+    monkeypatch.setattr('currantreach_daemon._http._BODY_TIMEOUT_S', 0.05)
+    guard = site.client.app[GUARD]
+    guard.watch(site.client.server.runner.server)
+    may_end = asyncio.Event()
+
+    async def wait(request_id, team, timeout_s):
+        await may_end.wait()
+        return site.router.answer
+
+    monkeypatch.setattr(site.router, 'wait', wait)
+    path = f'/v1/requests/{ID}/answer'
+    asked = asyncio.create_task(site.call('GET', path, 'tine', {}))
+    await asyncio.sleep(0.2)
+    guard.sweep()
+    may_end.set()
+    _status, answer = await asked
+    assert answer['state'] == 'accepted'
+
+
 async def test_missing_domain(site, monkeypatch):
     """A change is reported in effect while a failure domain is behind."""
     monkeypatch.setattr(
