Outlive the error that a peer answers with

Callers can see: daemons that stop, and with them calls that are cut short, when the handlers of one peer fail. Found on reading.

Cause: a peer answers with an error when its handler fails or cannot read a message, and asking for heartbeats, promises and consents caught only the lack of an answer. Any other error ended the part of the daemon that asked, and so the daemon.

Change: each error of a peer counts as no answer and is logged.

Evidence: test_heartbeat_answered_with_error and both cases of test_peer_answers_with_error failed with "assert not True" for the part that had ended, and pass.

--- a/packages/currantreach-daemon/src/currantreach_daemon/_membership.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_membership.py
@@ -23,8 +23,12 @@
     Session,
     TakeoverRule,
 )
-from currantreach_telemetry import log_event, log_problem
-from currantreach_types.errors import ConflictError, LinkError, PlatformError
+from currantreach_telemetry import log_detail, log_event, log_problem
+from currantreach_types.errors import (
+    ConflictError,
+    CurrantreachError,
+    PlatformError,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -236,7 +240,9 @@
                 PromiseReply,
                 CALL_TIMEOUT_S,
             )
-        except LinkError:
+        except CurrantreachError as exc:
+            # The error of a peer must not end the renewals of this daemon.
+            log_detail('promise_failed', peer=peer.peer_id, error=exc)
             return
         if reply.duration_s > 0:
             self._run.record(
--- a/packages/currantreach-daemon/src/currantreach_daemon/_peers.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_peers.py
@@ -24,7 +24,7 @@
 from currantreach_state import OutageReport
 from currantreach_telemetry import log_detail
 from currantreach_types import decode_json
-from currantreach_types.errors import LinkError, MalformedMessageError
+from currantreach_types.errors import CurrantreachError
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Mapping
@@ -205,7 +205,7 @@
     async def _try_exchange(self, peer: Peer) -> None:
         try:
             await self._exchange(peer)
-        except (LinkError, MalformedMessageError) as exc:
+        except CurrantreachError as exc:
             peer.heard_s = _NEVER_S
             log_detail('heartbeat_failed', peer=peer.peer_id, error=exc)
 
--- a/packages/currantreach-daemon/src/currantreach_daemon/_takeover.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_takeover.py
@@ -8,7 +8,8 @@
 from currantreach_config import WorkerFencing
 from currantreach_daemon._messages import ConsentMessage, ConsentReply
 from currantreach_state import Consent
-from currantreach_types.errors import LinkError
+from currantreach_telemetry import log_detail
+from currantreach_types.errors import CurrantreachError
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -121,6 +122,8 @@
             ConsentReply,
             CALL_TIMEOUT_S,
         )
-    except LinkError:
+    except CurrantreachError as exc:
+        # The error of a peer must not end the claims of this daemon.
+        log_detail('consent_failed', peer=peer.peer_id, error=exc)
         return None
     return Consent(is_given=reply.is_given, was_asked=reply.was_asked)
--- a/packages/currantreach-daemon/tests/test_membership.py
+++ b/packages/currantreach-daemon/tests/test_membership.py
@@ -10,7 +10,11 @@
 from currantreach_daemon._membership import Membership
 from currantreach_daemon._messages import Heartbeat
 from currantreach_daemon._peers import Peer
-from currantreach_types.errors import LinkError, StoreUnavailableError
+from currantreach_types.errors import (
+    CurrantreachError,
+    LinkError,
+    StoreUnavailableError,
+)
 
 NAMES = ('d0', 'd1', 'd2')
 
@@ -38,6 +42,8 @@
         source, target = (self.domain.daemons[name] for name in self.ends)
         if source.is_cut or target.is_cut or target.is_dead:
             raise LinkError('injected')
+        if target.is_faulty:
+            raise CurrantreachError('injected')
         return getattr(target.membership, method)(message)
 
 
@@ -62,6 +68,7 @@
         self.name = name
         self.is_cut = False
         self.is_dead = False
+        self.is_faulty = False
         self.started = []
         self.store = OwnStore(domain.store)
         self.membership = Membership(
@@ -194,6 +201,30 @@
     return play_on
 
 
+@pytest.mark.parametrize('number', [0, 1])
+def test_peer_answers_with_error(play, number):
+    """A peer whose handlers fail ends the daemons that ask it."""
+
+    async def scenario(domain):
+        owner = domain.owner()
+        others = domain.others()
+        others[number].is_faulty = True
+        for daemon in domain.daemons.values():
+            daemon.store.is_down = True
+        await domain.step(5)
+        assert not any(running.done() for running in owner.tasks)
+        for daemon in domain.daemons.values():
+            daemon.store.is_down = False
+        await domain.step(5)
+        await owner.die()
+        await domain.step(10)
+        assert domain.owner() in others
+        for daemon in others:
+            assert not any(running.done() for running in daemon.tasks)
+
+    play(scenario)
+
+
 def test_owner_dies(play):
     """A dead owner has no successor, or one too early (P2)."""
 
--- a/packages/currantreach-daemon/tests/test_routing.py
+++ b/packages/currantreach-daemon/tests/test_routing.py
@@ -28,7 +28,11 @@
     encode_json,
     refusals,
 )
-from currantreach_types.errors import LinkError, StoreUnavailableError
+from currantreach_types.errors import (
+    CurrantreachError,
+    LinkError,
+    StoreUnavailableError,
+)
 
 ID = 'far.0.2.one'
 SPEC = TaskSpec(
@@ -330,3 +334,15 @@
     net.table.announce_revision()
 
     assert net.table.peers['p0'].changed.is_set()
+
+
+async def test_heartbeat_answered_with_error(net):
+    """A peer whose handlers fail ends the heartbeats of this daemon."""
+    net.links[0].answers['heartbeat'] = [CurrantreachError('injected')]
+    following = asyncio.create_task(net.table.follow(net.table.peers['p0']))
+    while 'heartbeat' not in net.links[0].calls:
+        await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    is_over = following.done()
+    following.cancel()
+    assert not is_over
