--- a/packages/currantreach-daemon/src/currantreach_daemon/_endings.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_endings.py
@@ -15,6 +15,7 @@
 from currantreach_types import task_id as task_id_of
 from currantreach_types.errors import (
     LostAnswerError,
+    MalformedMessageError,
     PlatformError,
     StoreUnavailableError,
 )
@@ -191,7 +192,21 @@
             self._publish_end(entry, answer)
 
     async def _record_end(self, entry: RequestEntry, answer: Answer) -> None:
-        await self._append_at_last(entry, RecordKind.ended, answer)
+        try:
+            await self._append_at_last(entry, RecordKind.ended, answer)
+        except MalformedMessageError as exc:
+            # No later attempt would succeed either, and the caller waits.
+            self._state.log(
+                'end_not_recorded', request=entry.request_id, error=exc
+            )
+            answer = attrs.evolve(
+                answer,
+                state=RequestState.failed,
+                reason='output_too_large',
+                remedy='store large results elsewhere and return their place',
+                output=(),
+            )
+            await self._append_at_last(entry, RecordKind.ended, answer)
         self._publish_end(entry, answer)
 
     async def _append_at_last(
--- a/packages/currantreach-daemon/tests/conftest.py
+++ b/packages/currantreach-daemon/tests/conftest.py
@@ -32,6 +32,7 @@
 from currantreach_types.errors import (
     ConflictError,
     LostAnswerError,
+    MalformedMessageError,
     StaleEpochError,
     StoreUnavailableError,
     WorkerUnavailableError,
@@ -72,6 +73,7 @@
         self.delays = {}
         self.is_cut = False
         self.fails = False
+        self.padding = ''
         self.boot = 0
         self.clear()
 
@@ -119,7 +121,7 @@
         known = self.tasks[name]
         known.phase = phase
         if phase == TaskPhase.finished:
-            known.output = f'{name}@{self.name}'
+            known.output = f'{name}@{self.name}{self.padding}'
         self.feed.append(name)
 
     def step(self):
@@ -383,7 +385,8 @@
     """What the store keeps of the journal, and its faults.
 
     ``faults`` holds ``'down'``, ``'lost'`` for an answer lost after the
-    write or ``'late'`` for one lost without it; ``None`` is no fault.
+    write or ``'late'`` for one lost without it; ``None`` is no fault. Records
+    with a longer answer than ``answer_limit_bytes`` are refused.
     """
 
     def __init__(self):
@@ -392,6 +395,7 @@
         self.faults = collections.deque()
         self.is_down = False
         self.held = None
+        self.answer_limit_bytes = 10000
 
 
 class FakeJournal:
@@ -417,6 +421,8 @@
             await self.kept.held.wait()
         if self.kept.epoch > self.epoch:
             raise StaleEpochError('injected')
+        if len(record.answer_json) > self.kept.answer_limit_bytes:
+            raise MalformedMessageError('injected')
         fault = self.kept.faults.popleft() if self.kept.faults else None
         if fault == 'down' or self.kept.is_down:
             raise StoreUnavailableError('injected')
--- a/packages/currantreach-daemon/tests/test_owner.py
+++ b/packages/currantreach-daemon/tests/test_owner.py
@@ -303,6 +303,22 @@
     simulate(scenario)
 
 
+def test_output_above_limit(simulate):
+    """A result that the journal cannot hold leaves its caller waiting (P5)."""
+
+    async def scenario(cell):
+        for worker in cell.list():
+            worker.padding = 'x' * cell.journal.answer_limit_bytes
+        spec = cell.spec()
+        await cell.submit(spec)
+        answer = await cell.final(spec.request_id)
+        assert (answer.state, answer.reason) == ('failed', 'output_too_large')
+        await cell.replace_owner()
+        assert await cell.final(spec.request_id) == answer
+
+    simulate(scenario)
+
+
 @pytest.mark.parametrize('fault', ['lost', 'cut', 'down', 'stopped'])
 def test_gang(simulate, fault):
     """A gang that loses one task hangs, or runs one task twice (P2)."""
