Start processes of the test bed with an environment of their own

Proofs run in threads of their own, and pytest sets and removes PYTEST_CURRENT_TEST in the main thread meanwhile. Why the lock of the interpreter does not keep the change apart from the start was not traced.

Change: the environment is copied when the module is loaded and passed to each start.

--- a/testbed/_process.py
+++ b/testbed/_process.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import contextlib
+import os
 import signal
 import socket
 import sys
+import types
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -15,6 +17,10 @@
 
 __all__ = ('Process', 'free_ports')
 
+# pytest changes its environment while proofs start processes in other
+# threads, and an environment that is inherited meanwhile fails some starts
+# with EFAULT.
+_ENVIRONMENT = types.MappingProxyType(dict(os.environ))
 _READY_TIMEOUT_S = 20
 _END_TIMEOUT_S = 5
 
@@ -66,6 +72,7 @@
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=asyncio.subprocess.PIPE,
                 stderr=log,
+                env=_ENVIRONMENT,
             )
         if has_ready_line:
             async with asyncio.timeout(_READY_TIMEOUT_S):
