Wait until all daemons of a cell answer before a proof begins

Seen: proofs/test_configuration.py::test_lost_answer_to_apply failed with "repeat of lost-0 was told 0": the repeat of an operator's change at south-1 got no answer.

Traced beside load, where the proof failed so in 2 of 48 runs, two at a time, with ConnectionRefusedError after 0.0 s: south-1 logged that it had started 0.2 s and 0.7 s after the call. The cell counted as ready once each failure domain had an owner and limits, which the other daemon of the domain had seen to, and this call is the first one to south-1. No daemon had left a call unanswered.

Change: a cell is ready once each of its daemons answers as well, and a daemon that ended is named at once. What the proof checks is unchanged.

Evidence: test_ready_with_all_daemons, in which one daemon starts late, failed with "assert {}" and passes.

--- a/testbed/_cell.py
+++ b/testbed/_cell.py
@@ -166,7 +166,10 @@
             reply.raise_for_status()
 
     async def wait_ready(self) -> None:
-        """Wait until each failure domain has an owner and the limits."""
+        """Wait until all daemons answer and each domain has an owner.
+
+        The owners know the limits then.
+        """
         async with asyncio.timeout(_READY_TIMEOUT_S):
             while not await self._is_ready():
                 await asyncio.sleep(_POLL_S)
@@ -386,6 +389,9 @@
         with_limits: set[str] = set()
         for daemon_id in self.daemons:
             status = await self.status(daemon_id)
+            if not status:
+                self._check_alive()
+                return False
             for beat in status.get('daemons', ()):
                 owned.update(part['domain'] for part in beat['owned'])
             for key, revision in status.get('limits_in_force', {}).items():
--- a/tests/test_testbed.py
+++ b/tests/test_testbed.py
@@ -1,9 +1,11 @@
-"""Tests of the child processes of the test bed."""
+"""Tests of the cell and the processes of the test bed."""
 
 from __future__ import annotations
 
+import asyncio
 import pathlib
 
+from testbed import Cell, CellPlan
 from testbed._process import Process, free_ports
 
 
@@ -21,3 +23,23 @@
         await process.end()
     assert b'PATH=' in given
     assert b'PYTEST_CURRENT_TEST=' not in given
+
+
+class LateCell(Cell):
+    """Cell in which one daemon takes long to start."""
+
+    late = 'south-1'
+
+    async def start_daemon(self, daemon_id):
+        await super().start_daemon(daemon_id)
+        if daemon_id == self.late:
+            self.freeze(daemon_id)
+            loop = asyncio.get_running_loop()
+            loop.call_later(4, self.thaw, daemon_id)
+
+
+async def test_ready_with_all_daemons(tmp_path):
+    """A proof calls a daemon that does not listen yet."""
+    plan = CellPlan(site='agency', domains=('north', 'south'), worker_count=1)
+    async with LateCell(plan, tmp_path) as cell:
+        assert await cell.status(cell.late)
