Open the link to a worker again after an unforeseen error

Callers can see: accepted work that is never started nor ended, although workers are free.

Cause: the link to a worker bore only the errors of workers that do not answer and of stale epochs. Any other error ended its task, which was logged and not started again. The worker still counted as connected and open, so that work was placed on it and queued for a link that nothing served; leases were not renewed, and the end of the lease was not noticed either.

Change: any other error is logged and handled like a worker that does not answer: the worker is closed, waiting placements are queued elsewhere, and it is adopted again.

Evidence: test_link_fails, which lets adopting, following events, starting and renewing fail once in an unforeseen way, failed in all eight cases with "RequestState.accepted == finished" after 120 s of virtual time, and passes.

--- a/packages/currantreach-daemon/src/currantreach_daemon/_worker_link.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_worker_link.py
@@ -6,6 +6,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from currantreach_telemetry import log_problem
 from currantreach_types import (
     StartOrder,
     StartOutcome,
@@ -121,6 +122,14 @@
                 self._disconnect()
             except* StaleEpochError:
                 self._is_stale = True
+            except* Exception as faults:
+                # Without a link, what was sent to the worker would never end.
+                log_problem(
+                    'worker_link_failed',
+                    worker=self.worker.name,
+                    error=repr(faults.exceptions),
+                )
+                self._disconnect()
             await asyncio.sleep(_ADOPT_RETRY_S)
             self._expire_lost()
         self._listener.ownership_lost()
--- a/packages/currantreach-daemon/tests/conftest.py
+++ b/packages/currantreach-daemon/tests/conftest.py
@@ -60,7 +60,8 @@
 
     ``lost`` names the calls whose next answer is lost after their effect,
     ``dropped`` those that are lost before it, ``delays`` maps calls and
-    ``'effect'`` or ``'answer'`` to events that delay them.
+    ``'effect'`` or ``'answer'`` to events that delay them; ``broken`` names
+    those whose next answer makes the client fail in an unforeseen way.
     """
 
     def __init__(self, cell, name, slots=SLOTS):
@@ -70,6 +71,7 @@
         self.url = f'http://{name}'
         self.lost = collections.Counter()
         self.dropped = collections.Counter()
+        self.broken = collections.Counter()
         self.delays = {}
         self.is_cut = False
         self.fails = False
@@ -247,6 +249,9 @@
             worker.lost[method] -= 1
             await asyncio.sleep(0.5)
             raise WorkerUnavailableError(f'the answer to {method} was lost')
+        if worker.broken[method] > 0:
+            worker.broken[method] -= 1
+            raise ZeroDivisionError('injected')
         return answer
 
     def _adopt(self, worker, epoch):
--- a/packages/currantreach-daemon/tests/test_owner.py
+++ b/packages/currantreach-daemon/tests/test_owner.py
@@ -319,6 +319,30 @@
     simulate(scenario)
 
 
+@pytest.mark.parametrize('method', ['adopt', 'events', 'start', 'renew'])
+@pytest.mark.parametrize('is_unrepeatable', [False, True])
+def test_link_fails(simulate, method, is_unrepeatable):
+    """An unforeseen error ends the link to a worker for good (P6).
+
+    The owner goes on placing work on the worker, which is never sent.
+    """
+
+    async def scenario(cell):
+        for worker in cell.list():
+            worker.broken[method] = 1
+            if method == 'adopt':
+                worker.dropped['events'] = 1
+        await asyncio.sleep(15)
+        specs = [cell.spec(is_unrepeatable=is_unrepeatable) for _ in range(4)]
+        for spec in specs:
+            await cell.submit(spec)
+        for spec in specs:
+            assert (await cell.final(spec.request_id)).state == 'finished'
+            assert cell.start_count(spec.request_id) == 1
+
+    simulate(scenario)
+
+
 @pytest.mark.parametrize('fault', ['lost', 'cut', 'down', 'stopped'])
 def test_gang(simulate, fault):
     """A gang that loses one task hangs, or runs one task twice (P2)."""
