--- a/packages/currantreach-daemon/tests/conftest.py
+++ b/packages/currantreach-daemon/tests/conftest.py
@@ -32,6 +32,7 @@
 from currantreach_types.errors import (
     ConflictError,
     LostAnswerError,
+    MalformedMessageError,
     StaleEpochError,
     StoreUnavailableError,
     WorkerUnavailableError,
@@ -59,7 +60,8 @@
 
     ``lost`` names the calls whose next answer is lost after their effect,
     ``dropped`` those that are lost before it, ``delays`` maps calls and
-    ``'effect'`` or ``'answer'`` to events that delay them.
+    ``'effect'`` or ``'answer'`` to events that delay them; ``broken`` names
+    those whose next answer makes the client fail in an unforeseen way.
     """
 
     def __init__(self, cell, name, slots=SLOTS):
@@ -69,9 +71,11 @@
         self.url = f'http://{name}'
         self.lost = collections.Counter()
         self.dropped = collections.Counter()
+        self.broken = collections.Counter()
         self.delays = {}
         self.is_cut = False
         self.fails = False
+        self.padding = ''
         self.boot = 0
         self.clear()
 
@@ -119,7 +123,7 @@
         known = self.tasks[name]
         known.phase = phase
         if phase == TaskPhase.finished:
-            known.output = f'{name}@{self.name}'
+            known.output = f'{name}@{self.name}{self.padding}'
         self.feed.append(name)
 
     def step(self):
@@ -245,6 +249,9 @@
             worker.lost[method] -= 1
             await asyncio.sleep(0.5)
             raise WorkerUnavailableError(f'the answer to {method} was lost')
+        if worker.broken[method] > 0:
+            worker.broken[method] -= 1
+            raise ZeroDivisionError('injected')
         return answer
 
     def _adopt(self, worker, epoch):
@@ -383,7 +390,8 @@
     """What the store keeps of the journal, and its faults.
 
     ``faults`` holds ``'down'``, ``'lost'`` for an answer lost after the
-    write or ``'late'`` for one lost without it; ``None`` is no fault.
+    write or ``'late'`` for one lost without it; ``None`` is no fault. Records
+    with a longer answer than ``answer_limit_bytes`` are refused.
     """
 
     def __init__(self):
@@ -392,6 +400,7 @@
         self.faults = collections.deque()
         self.is_down = False
         self.held = None
+        self.answer_limit_bytes = 10000
 
 
 class FakeJournal:
@@ -417,6 +426,8 @@
             await self.kept.held.wait()
         if self.kept.epoch > self.epoch:
             raise StaleEpochError('injected')
+        if len(record.answer_json) > self.kept.answer_limit_bytes:
+            raise MalformedMessageError('injected')
         fault = self.kept.faults.popleft() if self.kept.faults else None
         if fault == 'down' or self.kept.is_down:
             raise StoreUnavailableError('injected')
--- a/packages/currantreach-daemon/tests/test_owner.py
+++ b/packages/currantreach-daemon/tests/test_owner.py
@@ -276,6 +276,73 @@
     simulate(scenario)
 
 
+@pytest.mark.parametrize('fault', [None, 'down', 'lost', 'late'])
+def test_cancel_before_recording(simulate, fault):
+    """A cancelled request is told as accepted for ever, or runs later (P6).
+
+    The cancellation arrives after the submission, and before the task that
+    records the submission has run for the first time.
+    """
+
+    async def scenario(cell):
+        cell.closed = set(cell.workers)
+        cell.list_hosts()
+        cell.journal.faults.append(fault)
+        spec = cell.spec()
+        submitted = asyncio.create_task(cell.submit(spec))
+        await asyncio.sleep(0)
+        cell.owner.cancel([spec.request_id], 'tine')
+        await submitted
+        answer = await cell.final(spec.request_id)
+        assert (answer.state, answer.reason) == ('not_run', 'cancelled')
+        cell.closed = set()
+        await cell.replace_owner()
+        await asyncio.sleep(3)
+        assert not cell.starts
+
+    simulate(scenario)
+
+
+def test_output_above_limit(simulate):
+    """A result that the journal cannot hold leaves its caller waiting (P5)."""
+
+    async def scenario(cell):
+        for worker in cell.list():
+            worker.padding = 'x' * cell.journal.answer_limit_bytes
+        spec = cell.spec()
+        await cell.submit(spec)
+        answer = await cell.final(spec.request_id)
+        assert (answer.state, answer.reason) == ('failed', 'output_too_large')
+        await cell.replace_owner()
+        assert await cell.final(spec.request_id) == answer
+
+    simulate(scenario)
+
+
+@pytest.mark.parametrize('method', ['adopt', 'events', 'start', 'renew'])
+@pytest.mark.parametrize('is_unrepeatable', [False, True])
+def test_link_fails(simulate, method, is_unrepeatable):
+    """An unforeseen error ends the link to a worker for good (P6).
+
+    The owner goes on placing work on the worker, which is never sent.
+    """
+
+    async def scenario(cell):
+        for worker in cell.list():
+            worker.broken[method] = 1
+            if method == 'adopt':
+                worker.dropped['events'] = 1
+        await asyncio.sleep(15)
+        specs = [cell.spec(is_unrepeatable=is_unrepeatable) for _ in range(4)]
+        for spec in specs:
+            await cell.submit(spec)
+        for spec in specs:
+            assert (await cell.final(spec.request_id)).state == 'finished'
+            assert cell.start_count(spec.request_id) == 1
+
+    simulate(scenario)
+
+
 @pytest.mark.parametrize('fault', ['lost', 'cut', 'down', 'stopped'])
 def test_gang(simulate, fault):
     """A gang that loses one task hangs, or runs one task twice (P2)."""
