End calls of a replaced session with a typed error

A channel to the platform opens a new session after a timeout and closes the one before. Calls with a waiting time that were still queued for one of its 32 connections were then cancelled by aiohttp: CancelledError came out of the call although nobody had cancelled it. The follower of the cell or of the configuration, a session with a worker or a transaction of the group commit that met this ended as cancelled, without a log line, and nothing took its place. A closed session (RuntimeError) and an address that is none (ValueError) were no typed errors either.

Every such call now ends with NotSentError or NoAnswerError; a cancellation by the caller itself is passed on.

Before: test_replaced_session_cancels_no_caller 'assert not True' (queued calls cancelled), test_closed_session_and_bad_address_are_typed 'ValueError: Port out of range 0-65535'. After: the tests of the package pass.

--- a/packages/currantreach-platform/src/currantreach_platform/_channel.py
+++ b/packages/currantreach-platform/src/currantreach_platform/_channel.py
@@ -20,6 +20,9 @@
 # most 64 connections.
 _CONNECTIONS_PER_SESSION = 32
 _IDLE_S = 15
+# What aiohttp raises for a lost connection, for a closed session and for an
+# address that is none.
+_FAILURES = aiohttp.ClientError, OSError, RuntimeError, ValueError
 
 
 class NotSentError(Exception):
@@ -73,6 +76,10 @@
     can_repeat: bool
     is_sent: bool = False
 
+    def failure(self, reason: str) -> NotSentError | NoAnswerError:
+        """Return the error of a call that got no answer."""
+        return NoAnswerError(reason) if self.is_sent else NotSentError(reason)
+
 
 async def _note_sending(
     session: aiohttp.ClientSession,
@@ -88,6 +95,11 @@
     attempt.is_sent = True
 
 
+def _is_being_cancelled() -> bool:
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 class Channel:
     """Connections to one address.
 
@@ -130,10 +142,14 @@
                 await self._replace(session)
                 raise NoAnswerError('the deadline passed') from late
             raise NotSentError('no connection within the deadline') from late
-        except (aiohttp.ClientError, OSError) as exc:
-            if attempt.is_sent:
-                raise NoAnswerError(str(exc) or repr(exc)) from exc
-            raise NotSentError(str(exc) or repr(exc)) from exc
+        except asyncio.CancelledError as cancelled:
+            # Closing a session cancels the calls that wait for one of its
+            # connections, although nobody has cancelled their tasks.
+            if _is_being_cancelled():
+                raise
+            raise attempt.failure('the session was closed') from cancelled
+        except _FAILURES as exc:
+            raise attempt.failure(str(exc) or repr(exc)) from exc
         finally:
             self.in_flight -= 1
 
--- a/packages/currantreach-platform/tests/test_channel.py
+++ b/packages/currantreach-platform/tests/test_channel.py
@@ -6,7 +6,13 @@
 
 import pytest
 
-from currantreach_platform import HttpStore
+from currantreach_platform import (
+    Call,
+    Channel,
+    HttpStore,
+    NoAnswerError,
+    NotSentError,
+)
 from currantreach_types.errors import LostAnswerError, StoreUnavailableError
 
 _ANSWER = (b'HTTP/1.1 200 OK\r\nX-Revision: 7\r\nContent-Length: 2\r\n\r\nok',)
@@ -105,3 +111,54 @@
         await store.put('a', b'1', 0)
 
     await store.close()
+
+
+@pytest.fixture
+async def channel(connect):
+    """Return connections to a server that never answers."""
+    _, store = await connect(answers_each=0, deadline_s=0.1)
+    opened = Channel(store._channel._base_url, 0.1)
+    yield opened
+    await opened.close()
+
+
+async def test_replaced_session_cancels_no_caller(channel):
+    """A call that waits for a connection must end with a typed error.
+
+    Closing the session that it waits in cancelled the caller's task, so that
+    followers of the store and sessions of workers ended without a log line.
+    """
+    post = Call(method='POST', path='/post', body=b'')
+    watch = Call(method='GET', path='/watch', wait_s=1)
+    sent = [asyncio.ensure_future(channel.call(post)) for _ in range(32)]
+    await asyncio.sleep(0.01)
+    queued = [asyncio.ensure_future(channel.call(watch)) for _ in range(40)]
+    await asyncio.gather(*sent, return_exceptions=True)
+    for _ in range(2):
+        with pytest.raises(NoAnswerError):
+            await channel.call(post)
+    await asyncio.wait(queued, timeout=1)
+    assert all(task.done() for task in queued)
+    assert not any(task.cancelled() for task in queued)
+    kinds = {type(task.exception()) for task in queued}
+    assert kinds <= {NotSentError, NoAnswerError}
+
+
+async def test_cancelled_caller_stays_cancelled(channel):
+    """A cancellation by the caller itself is not turned into an error."""
+    call = asyncio.ensure_future(channel.call(Call(method='GET', path='/')))
+    await asyncio.sleep(0.01)
+    call.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await call
+
+
+async def test_closed_session_and_bad_address_are_typed(channel):
+    """Errors of aiohttp other than its own base class ended the caller."""
+    bad = Channel('http://127.0.0.1:99999999', 0.1)
+    with pytest.raises(NotSentError):
+        await bad.call(Call(method='GET', path='/'))
+    await bad.close()
+    await channel.close()
+    with pytest.raises(NotSentError):
+        await channel.call(Call(method='GET', path='/'))
