Let a rejected record hold up no other job

A transaction that the store never carries out (status 400, 403 or 413), or whose task ended by an unexpected exception or as cancelled, kept all its records unwritten: the first was sent again with the same records for ever, the second left them in flight. The lag then stays above the bound for starts, so that nothing starts for any job; each successor meets the first case again.

Records of such a transaction are now written alone. One that is rejected alone is logged, counted (record_rejected), left out of the lag and tried again after 5 s. Whoever waits for it is not told that it is written. Reasons commit_failed and record_rejected in the counter of retries.

After: passes; bound 2 s for the other 39 records and 6 s for a record that is accepted later.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_commits.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_commits.py
@@ -14,10 +14,15 @@
     job_key,
     progress_key,
 )
+from currantreach_jobs._supervision import failure_of
 from currantreach_platform import Write
-from currantreach_telemetry import log_event, log_problem
+from currantreach_telemetry import Metrics, log_event, log_problem
 from currantreach_types import encode_packed
-from currantreach_types.errors import PlatformError, TransactionConflictError
+from currantreach_types.errors import (
+    CallRejectedError,
+    PlatformError,
+    TransactionConflictError,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -42,6 +47,9 @@
 # written as well.
 _ENTRIES_OF_OPEN = 2
 _ENTRIES_OF_ENDED = 3
+# Pause before a record that was rejected on its own is tried again; it changes
+# with the progress of its job.
+_REJECTED_RETRY_S = 5
 
 
 @attrs.frozen(slots=True, eq=False)
@@ -60,6 +68,9 @@
     :ivar marked_count: changes noted so far.
     :ivar written_count: changes that are in the store.
     :ivar changed_at_s: time of the oldest change that is not written.
+    :ivar is_suspect: whether a transaction with the record was rejected or
+        failed; it is then written alone, so that it holds up no other one.
+    :ivar is_rejected: whether it was rejected alone and waits for a retry.
     """
 
     revision: int = 0
@@ -67,6 +78,8 @@
     written_count: int = 0
     changed_at_s: float = 0
     is_in_flight: bool = False
+    is_suspect: bool = False
+    is_rejected: bool = False
     waiters: list[_Waiter] = attrs.field(factory=list)
 
     @property
@@ -77,6 +90,7 @@
     def note_written(self, count: int) -> None:
         """Note that a number of changes is in the store."""
         self.written_count = max(self.written_count, count)
+        self.is_suspect = False
         waiting = self.waiters
         self.waiters = []
         for waiter in waiting:
@@ -103,6 +117,7 @@
         store: TransactionalStore,
         tenure: Tenure,
         clock: Clock,
+        metrics: Metrics | None = None,
     ) -> None:
         """Start with nothing to write.
 
@@ -117,7 +132,9 @@
         self._unwritten: dict[str, _Entry] = {}
         # Those of them that are not in flight.
         self._queue: dict[str, None] = {}
-        self._commits: set[asyncio.Task[None]] = set()
+        self._metrics = metrics or Metrics()
+        self._commits: dict[asyncio.Task[None], list[str]] = {}
+        self._is_closed = False
         self._wake = asyncio.Event()
         self._paused_until_s: float = 0
 
@@ -158,8 +175,8 @@
         """Wait until all changes of some jobs noted so far are in the store."""
         pending: list[asyncio.Future[None]] = []
         for job_id in job_ids:
-            entry = self._unwritten.get(job_id)
-            if entry is not None:
+            entry = self._entries.get(job_id)
+            if entry is not None and not entry.is_written:
                 settled: asyncio.Future[None] = (
                     asyncio.get_running_loop().create_future()
                 )
@@ -180,6 +197,7 @@
                 self._send_batches()
                 await self._pause()
         finally:
+            self._is_closed = True
             for commit in self._commits:
                 commit.cancel()
 
@@ -197,7 +215,7 @@
                 self._queue.pop(job_id)
                 self._entries[job_id].is_in_flight = True
             commit = asyncio.create_task(self._write(batch))
-            self._commits.add(commit)
+            self._commits[commit] = batch
             commit.add_done_callback(self._note_end)
 
     def _next_batch(self) -> list[str]:
@@ -206,6 +224,10 @@
         left = self._store.max_entries - 1
         batch: list[str] = []
         for job_id in self._queue:
+            if self._entries[job_id].is_suspect:
+                if batch:
+                    continue
+                return [job_id]
             is_final = self.jobs[job_id].state.is_final
             left -= _ENTRIES_OF_ENDED if is_final else _ENTRIES_OF_OPEN
             if left < 0:
@@ -226,11 +248,46 @@
         return now_s >= oldest.changed_at_s + _GROUP_S
 
     def _note_end(self, commit: asyncio.Task[None]) -> None:
-        self._commits.discard(commit)
+        batch = self._commits.pop(commit)
         self._wake.set()
-        if not commit.cancelled() and commit.exception() is not None:
-            log_problem('commit_failed', error=repr(commit.exception()))
-            self._tenure.is_over = True
+        failure = failure_of(commit)
+        if failure is None or self._is_closed:
+            return
+        # What it has done is not known, like after a lost answer.
+        self._metrics.retried('commit_failed')
+        log_problem('commit_failed', jobs=len(batch), error=repr(failure))
+        self._separate(batch)
+
+    def _separate(self, batch: Sequence[str]) -> None:
+        """Find the record for which a transaction is never carried out.
+
+        Its records are written alone. One that is rejected alone is tried
+        again later and does not count as late, so that other jobs go on.
+        """
+        self._paused_until_s = self._clock.now_s() + _RETRY_S
+        for job_id in batch:
+            entry = self._entries.get(job_id)
+            if entry is None:
+                continue
+            if entry.is_suspect:
+                entry.is_rejected = True
+                self._unwritten.pop(job_id, None)
+                self._metrics.retried('record_rejected')
+                log_problem('record_rejected', job=job_id)
+                asyncio.get_running_loop().call_later(
+                    _REJECTED_RETRY_S,
+                    self._retry_rejected,
+                    job_id,
+                )
+            entry.is_suspect = True
+            self._requeue(job_id)
+
+    def _retry_rejected(self, job_id: str) -> None:
+        entry = self._entries.get(job_id)
+        if entry is not None:
+            entry.is_rejected = False
+            self._requeue(job_id)
+            self._wake.set()
 
     async def _write(self, batch: Sequence[str]) -> None:
         counts = {
@@ -250,6 +307,10 @@
             )
         except TransactionConflictError as conflict:
             self._note_conflict(conflict, batch)
+        except CallRejectedError as rejected:
+            log_problem('commit_rejected', jobs=len(batch), error=rejected)
+            self._separate(batch)
+            return
         except PlatformError as error:
             log_event('progress_unwritten', jobs=len(batch), error=error)
             self._paused_until_s = self._clock.now_s() + _RETRY_S
@@ -272,7 +333,7 @@
     def _requeue(self, job_id: str) -> None:
         """Queue a job again that changed or failed while in flight."""
         entry = self._entries.get(job_id)
-        if entry is None:
+        if entry is None or entry.is_rejected:
             return
         entry.is_in_flight = False
         if not entry.is_written:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_master.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_master.py
@@ -92,7 +92,12 @@
         self._settings = settings
         self._clock = clock
         self._wake = asyncio.Event()
-        self._committer = Committer(outside.store, tenure, clock)
+        self._committer = Committer(
+            outside.store,
+            tenure,
+            clock,
+            outside.metrics,
+        )
         self.board = Board(
             clock,
             self._committer.mark,
--- /dev/null
+++ b/packages/currantreach-jobs/tests/test_failed_orders.py
@@ -0,0 +1,71 @@
+"""Orders, sessions and parts that end by an exception that nobody expects.
+
+Pattern: a background task ends early, by an error that is none of the
+platform or as its tenure was over for a moment, and something waits for it
+as long as the daemon leads.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from currantreach_jobs._commits import Committer
+from currantreach_jobs._progress import JobProgress
+from currantreach_jobs._terms import Tenure
+from currantreach_types.errors import CallRejectedError
+
+FAULTS = [RuntimeError('closed'), asyncio.CancelledError()]
+
+
+class FaultyStore:
+    """Store whose transactions fail while they hold the record of a job."""
+
+    max_entries = 32
+
+    def __init__(self, fault, job_id):
+        self.fault = fault
+        self.job_id = job_id
+        self.written = set()
+
+    async def commit(self, expected, writes, removed=()):
+        await asyncio.sleep(0.01)
+        keys = {write.key for write in writes}
+        if f'progress/{self.job_id}' in keys:
+            raise self.fault
+        self.written |= keys
+        return 1
+
+
+@pytest.mark.parametrize('fault', [*FAULTS, CallRejectedError('too large')])
+def test_rejected_record_holds_up_no_other(play, job, fault):
+    """One record that is never written stopped the starts of all jobs.
+
+    It also kept the records that shared its transaction unwritten. Whoever
+    waits for the record itself must not be told that it is written.
+    """
+
+    async def scenario(fleet, _):
+        store = FaultyStore(fault, 'j3')
+        names = [f'j{number}' for number in range(40)]
+        tenure = Tenure(epoch=1, revision=0, valid_until_s=1e9, began_at_s=0)
+        committer = Committer(store, tenure, fleet.clock)
+        committer.jobs = {
+            name: JobProgress(job=job(name), first_attempt=0, accepted_at_s=0)
+            for name in names
+        }
+        writing = asyncio.ensure_future(committer.run())
+        for name in names:
+            committer.mark(name)
+        await asyncio.sleep(2)
+        assert len(store.written) == 39
+        assert not committer.lag_s()
+        assert not tenure.is_over
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(committer.written(['j3']), 1)
+        store.job_id = ''
+        await asyncio.wait_for(committer.written(['j3']), 6)
+        writing.cancel()
+
+    play(scenario)
--- a/packages/currantreach-types/src/currantreach_types/_errors.py
+++ b/packages/currantreach-types/src/currantreach_types/_errors.py
@@ -42,6 +42,10 @@
     """The store refused or never received the call; nothing was written."""
 
 
+class CallRejectedError(StoreUnavailableError):
+    """The store does not carry out this call, however often it is sent."""
+
+
 class LostAnswerError(PlatformError):
     """No answer arrived; the call may or may not have taken effect."""
 
--- a/packages/currantreach-types/src/currantreach_types/errors.py
+++ b/packages/currantreach-types/src/currantreach_types/errors.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from currantreach_types._errors import (
+    CallRejectedError,
     ConfigurationError,
     ConflictError,
     CurrantreachError,
@@ -18,6 +19,7 @@
 )
 
 __all__ = (
+    'CallRejectedError',
     'ConfigurationError',
     'ConflictError',
     'CurrantreachError',
