Take the lead again after a part of a tenure was cancelled

A part of a tenure that ended as cancelled (see the channel to the platform) made the leader raise CancelledError when it looked for the reason, and with it ended the loop of the daemon that takes the lead: the process went on serving, led nothing and could win the next vacant lead no more. The supervisor of the daemon's own parts passed over cancelled ones as well, so that a daemon without its follower of the cell went on with an old view.

A cancelled part now counts as failed in both places.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_daemon.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_daemon.py
@@ -22,6 +22,7 @@
     StateRequest,
     SubmitRequest,
 )
+from currantreach_jobs._supervision import failure_of
 from currantreach_links import Handler, PeerServer
 from currantreach_telemetry import log_event, log_problem
 from currantreach_types import decode_packed, encode_packed
@@ -155,14 +156,20 @@
         await self._outside.store.close()
 
     async def _supervise(self, tasks: list[asyncio.Task[None]]) -> None:
-        done, _ = await asyncio.wait(
-            tasks,
-            return_when=asyncio.FIRST_EXCEPTION,
-        )
-        for task in done:
-            if not task.cancelled() and task.exception() is not None:
-                log_problem('part_failed', error=repr(task.exception()))
-                raise task.exception() or RuntimeError
+        """Wait until a part fails; parts that return have done their work."""
+        pending = set(tasks)
+        while pending:
+            done, pending = await asyncio.wait(
+                pending,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for task in done:
+                failure = failure_of(task)
+                if failure is not None:
+                    log_problem('part_failed', error=repr(failure))
+                    raise RuntimeError(
+                        'a part of the daemon ended'
+                    ) from failure
 
     async def _decide(self) -> None:
         outside = self._outside
--- a/packages/currantreach-jobs/src/currantreach_jobs/_master.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_master.py
@@ -20,6 +20,7 @@
     job_key,
     progress_key,
 )
+from currantreach_jobs._supervision import failure_of
 from currantreach_jobs._worker_session import WorkerSession
 from currantreach_platform import Write
 from currantreach_telemetry import log_event, log_problem
@@ -203,7 +204,7 @@
     def _is_over(self, tasks: list[asyncio.Task[None]]) -> bool:
         for task in tasks:
             if task.done() and not self.tenure.is_over:
-                log_problem('part_failed', error=task.exception())
+                log_problem('part_failed', error=repr(failure_of(task)))
                 return True
         now_s = self._clock.now_s()
         grace_s = self._settings.hold_grace_s
--- a/packages/currantreach-jobs/tests/conftest.py
+++ b/packages/currantreach-jobs/tests/conftest.py
@@ -234,7 +234,10 @@
 
 
 class OwnStore(TransactionalStore):
-    """View of the store that one daemon has; it may be turned away."""
+    """View of the store that one daemon has; it may be turned away.
+
+    ``faults`` are exceptions that the next watches of a prefix end with.
+    """
 
     max_entries = MemoryStore.max_entries
 
@@ -242,6 +245,7 @@
         self.store = store
         self.is_rejected = False
         self.is_silent = False
+        self.faults = collections.defaultdict(list)
 
     async def get(self, key):
         return await self._call(self.store.get, key)
@@ -268,6 +272,8 @@
         return await self._call(self.store.revoke_lease, lease_id)
 
     async def watch(self, prefix, after_revision, timeout_s):
+        if self.faults[prefix]:
+            raise self.faults[prefix].pop(0)
         return await self._call(
             self.store.watch,
             prefix,
--- a/packages/currantreach-jobs/tests/test_failed_orders.py
+++ b/packages/currantreach-jobs/tests/test_failed_orders.py
@@ -11,14 +11,61 @@
 
 import pytest
 
+from currantreach_jobs import JobDaemon, JobSettings, Surroundings
 from currantreach_jobs._commits import Committer
 from currantreach_jobs._progress import JobProgress
 from currantreach_jobs._terms import Tenure
 from currantreach_types.errors import CallRejectedError
 
+LASTING_S = 1000
 FAULTS = [RuntimeError('closed'), asyncio.CancelledError()]
 
 
+@pytest.mark.parametrize('fault', FAULTS)
+def test_failed_part_ends_its_tenure_only(play, job, wait_until, fault):
+    """A daemon must take the lead again after a part of a tenure failed.
+
+    The part being cancelled also ended the loop that takes the lead.
+    """
+
+    async def scenario(fleet, site):
+        fleet.add('w1')
+        host = site.start('a')
+        await host.intake.submit(job('8' * 16))
+        await wait_until(lambda: fleet.done)
+        host.store.faults['jobs/'].append(fault)
+        await wait_until(lambda: not host.store.faults['jobs/'])
+        await host.intake.submit(job('9' * 16))
+        await wait_until(lambda: len(fleet.done) == 2, timeout_s=10)
+
+    play(scenario)
+
+
+async def test_cancelled_part_ends_the_process():
+    """A daemon whose follower was cancelled went on with an old view."""
+    daemon = JobDaemon('a', 'tcp://127.0.0.1:1', outside(), JobSettings(), None)
+    ending = asyncio.ensure_future(asyncio.sleep(0))
+    waiting = asyncio.ensure_future(asyncio.sleep(LASTING_S))
+    cancelled = asyncio.ensure_future(asyncio.sleep(LASTING_S))
+    cancelled.cancel()
+    with pytest.raises(RuntimeError):
+        await asyncio.wait_for(
+            daemon._supervise([ending, waiting, cancelled]),
+            1,
+        )
+
+
+def outside():
+    """Return surroundings of which nothing is used."""
+    return Surroundings(
+        store=None,
+        directory=None,
+        source=None,
+        advice=None,
+        make_port=None,
+    )
+
+
 class FaultyStore:
     """Store whose transactions fail while they hold the record of a job."""
 
