Settle runs whose order failed

An order that ended by an exception other than an error of the platform was dropped without a log line. A run whose start ended so stayed in its first phase with its room taken for the whole tenure, and its task never ran; a run whose stop ended so went on. A run that nobody wants was stopped once only, so that its worker took nothing any more if that stop failed or the worker was lost meanwhile.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_board.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_board.py
@@ -46,6 +46,7 @@
     ) -> None:
         """Start empty.
 
+        :ivar count_retry: counts a retry, by its reason.
         :ivar is_complete: set once all accepted jobs are known.
         :param mark_changed: called with the id of a job whose record has to
             be written.
@@ -62,6 +63,7 @@
         self._mark_changed = mark_changed
         self._wake = wake
         self._metrics = metrics
+        self.count_retry = metrics.retried
 
     def take_stops(self) -> list[Run]:
         """Return the runs to be stopped and forget them."""
--- a/packages/currantreach-jobs/src/currantreach_jobs/_rooms.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_rooms.py
@@ -116,6 +116,17 @@
         """Return all runs on the worker."""
         return self.runs.values()
 
+    def unsettled_runs(self, ordered: set[tuple[TaskKey, int]]) -> list[Run]:
+        """Return the runs that have no answer and no order under way.
+
+        :param ordered: runs with an order under way.
+        """
+        return [
+            run
+            for key, run in self.runs.items()
+            if not run.settled_at_s and key not in ordered
+        ]
+
 
 class TeamUse:
     """What each team has running, against its limit."""
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -7,8 +7,9 @@
 from typing import TYPE_CHECKING
 
 from currantreach_jobs._model import StartAnswer, StartOrder
+from currantreach_jobs._orders import BackgroundOrders
 from currantreach_jobs._progress import RunPhase
-from currantreach_telemetry import log_event
+from currantreach_telemetry import log_event, log_problem
 from currantreach_types.errors import PlatformError, WorkerUnavailableError
 
 if TYPE_CHECKING:
@@ -81,7 +82,7 @@
         self.lease_over_s = (
             tenure.began_at_s + settings.hold_grace_s + settings.longest_lease_s
         )
-        self._orders: set[asyncio.Task[None]] = set()
+        self._orders = BackgroundOrders(worker_id, board.count_retry)
 
     async def run(self) -> None:
         """Hold the worker until this daemon's tenure is over."""
@@ -102,21 +103,38 @@
             await self._acknowledge()
         log_event(_CLOSED_LOG, worker=self.worker_id)
 
+    def resume_after(self, failure: BaseException | None) -> None:
+        """Prepare to run again after :meth:`run` has ended.
+
+        The worker counts as silent meanwhile, so that a session that always
+        fails extends no lease and its tasks run elsewhere in the end.
+        """
+        self._board.count_retry('session_reopened')
+        log_problem(
+            'worker_session_failed',
+            worker=self.worker_id,
+            error=repr(failure),
+        )
+        self._note_silence(
+            WorkerUnavailableError('the session ended; it is opened again'),
+        )
+
     async def close(self) -> None:
         """Cancel outstanding orders and close all connections."""
-        for order in self._orders:
-            order.cancel()
-        if self._orders:
-            await asyncio.wait(self._orders)
+        await self._orders.close()
         await self._port.close()
 
     def start(self, run: Run, ticket: str) -> None:
         """Order a run in the background."""
-        self._in_background(self._start(run, ticket))
+        self._orders.send(run.task, run.attempt, self._start(run, ticket))
 
     def stop(self, run: Run) -> None:
         """Stop a run in the background."""
-        self._in_background(self._stop(run.task, run.attempt, run))
+        self._orders.send(
+            run.task,
+            run.attempt,
+            self._stop(run.task, run.attempt, run),
+        )
 
     async def _hold(self, now_s: float) -> HoldReply:
         has_unacked = self._noted_through > self._acked_through
@@ -219,7 +237,7 @@
             return
         room.is_usable = True
         listed = {(found.task, found.attempt): found for found in reply.running}
-        self._stop_orphans(room, set(listed) - set(room.runs))
+        self._stop_unwanted(room, set(listed) - set(room.runs))
         for run in room.running():
             found_run = listed.get((run.task, run.attempt))
             if found_run is not None and found_run.checkpoint:
@@ -336,13 +354,15 @@
         else:
             self._board.refuse(run, answer)
 
-    def _stop_orphans(
+    def _stop_unwanted(
         self,
         room: WorkerRoom,
         orphans: set[tuple[TaskKey, int]],
     ) -> None:
-        """Stop runs that nobody wants; those known before are being stopped."""
-        for task, attempt in orphans - room.orphans:
+        """Stop runs that nobody wants or whose order had no answer."""
+        room.orphans = orphans
+        for orphan in self._orders.due_stops(orphans, self._clock.now_s()):
+            task, attempt = orphan
             log_event(
                 'orphan_stopped',
                 job=task.job_id,
@@ -351,8 +371,14 @@
                 attempt=attempt,
                 worker=self.worker_id,
             )
-            self._in_background(self._stop(task, attempt, None))
-        room.orphans = orphans
+            self._orders.send(task, attempt, self._stop(task, attempt, None))
+        for run in room.unsettled_runs(self._orders.runs()):
+            # Its order failed, or ended while this daemon could not hold the
+            # worker. What it has done is not known.
+            if run not in self._board.to_stop:
+                self._board.count_retry('stop_unsettled')
+                run.phase = RunPhase.STOPPING
+                self.stop(run)
 
     async def _stop(
         self,
@@ -379,8 +405,3 @@
             elif run is not None:
                 run.settled_at_s = self._clock.now_s()
             return
-
-    def _in_background(self, order: Awaitable[None]) -> None:
-        task = asyncio.ensure_future(order)
-        self._orders.add(task)
-        task.add_done_callback(self._orders.discard)
--- a/packages/currantreach-jobs/tests/conftest.py
+++ b/packages/currantreach-jobs/tests/conftest.py
@@ -315,7 +315,8 @@
     """Worker that keeps fences, leases and numbers of runs.
 
     ``silent`` drops every call, ``late_starts`` counts starts that are
-    answered by nothing and carried out by :meth:`carry_out`.
+    answered by nothing and carried out by :meth:`carry_out`, and ``faults``
+    are exceptions that the next calls of a kind end with.
     """
 
     def __init__(self, fleet, worker_id, rate=1):
@@ -324,6 +325,7 @@
         self.rate = rate
         self.silent = False
         self.mute = False
+        self.faults = collections.defaultdict(list)
         self.late_starts = 0
         self.delayed = []
         self.refusal = None
@@ -470,7 +472,7 @@
         self.worker = worker
 
     async def start(self, order):
-        await self._enter()
+        await self._enter('start')
         if self.worker.late_starts:
             self.worker.late_starts -= 1
             self.worker.delayed.append(order)
@@ -479,11 +481,11 @@
         return self._answer(self.worker.start(order))
 
     async def stop(self, task, attempt, token):
-        await self._enter()
+        await self._enter('stop')
         return self._answer(self.worker.stop(task, attempt, token))
 
     async def hold(self, token, acked_through, worker_deadline_ms, wait_s):
-        await self._enter()
+        await self._enter('hold')
         worker = self.worker
         reply = worker.hold(token, acked_through, worker_deadline_ms)
         until_s = worker.fleet.clock.now_s() + wait_s
@@ -496,8 +498,10 @@
     async def close(self):
         """Nothing is open."""
 
-    async def _enter(self):
+    async def _enter(self, kind):
         await asyncio.sleep(0.003)
+        if self.worker.faults[kind]:
+            raise self.worker.faults[kind].pop(0)
         if self.worker.silent:
             await asyncio.sleep(0.6)
             raise WorkerUnavailableError('silent')
--- a/packages/currantreach-jobs/tests/test_failed_orders.py
+++ b/packages/currantreach-jobs/tests/test_failed_orders.py
@@ -21,6 +21,88 @@
 FAULTS = [RuntimeError('closed'), asyncio.CancelledError()]
 
 
+@pytest.mark.parametrize('fault', FAULTS)
+def test_failed_start_is_settled(play, job, wait_until, fault):
+    """A run whose start failed stayed in its first phase for ever."""
+
+    async def scenario(fleet, site):
+        worker = fleet.add('w1')
+        host = site.start('a')
+        worker.faults['start'].append(fault)
+        await host.intake.submit(job('0' * 16))
+        await wait_until(lambda: fleet.done, timeout_s=8)
+
+    play(scenario)
+
+
+def test_start_with_unknown_effect_runs_once(play, job, wait_until):
+    """A start that failed after it was sent must not run beside another."""
+
+    async def scenario(fleet, site):
+        first = fleet.add('w1')
+        fleet.work_s = 4
+        host = site.start('a')
+        first.late_starts = 1
+        await host.intake.submit(job('0' * 16))
+        await wait_until(lambda: first.delayed)
+        first.faults['start'].append(RuntimeError('closed'))
+        fleet.add('w2')
+        await asyncio.sleep(1)
+        first.carry_out()
+        await wait_until(lambda: fleet.done, timeout_s=12)
+        await asyncio.sleep(5)
+        assert sum(fleet.done.values()) == 1
+
+    play(scenario)
+
+
+@pytest.mark.parametrize('fault', FAULTS)
+def test_failed_stop_is_repeated(play, job, wait_until, fault):
+    """A run whose stop failed went on, and its room was never free."""
+
+    async def scenario(fleet, site):
+        worker = fleet.add('w1')
+        fleet.work_s = LASTING_S
+        host = site.start('a')
+        await host.intake.submit(job('1' * 16))
+        await wait_until(lambda: fleet.starts)
+        worker.faults['stop'].append(fault)
+        await host.intake.cancel('1' * 16, 'lookups', 'orchard')
+        await wait_until(lambda: not worker.running, timeout_s=4)
+        await wait_until(
+            lambda: not host.master.board.rooms['w1'].runs,
+            timeout_s=4,
+        )
+
+    play(scenario)
+
+
+@pytest.mark.parametrize('fault', FAULTS)
+def test_failed_stop_of_an_orphan_is_repeated(play, job, wait_until, fault):
+    """A run that nobody wants closed its worker for ever.
+
+    Nothing starts on a worker with such a run, and its stop was sent once.
+    """
+
+    async def scenario(fleet, site):
+        worker = fleet.add('w1')
+        fleet.work_s = LASTING_S
+        first = site.start('a')
+        await first.intake.submit(job('2' * 16))
+        await wait_until(lambda: fleet.starts)
+        first.kill()
+        second = site.start('b')
+        await second.intake.cancel('2' * 16, 'lookups', 'orchard')
+        worker.faults['stop'] += [fault, fault]
+        await wait_until(lambda: second.master and second.master.is_ready)
+        await wait_until(lambda: not worker.running, timeout_s=10)
+        fleet.work_s = 1
+        await second.intake.submit(job('3' * 16))
+        await wait_until(lambda: fleet.done, timeout_s=4)
+
+    play(scenario)
+
+
 @pytest.mark.parametrize('fault', FAULTS)
 def test_failed_part_ends_its_tenure_only(play, job, wait_until, fault):
     """A daemon must take the lead again after a part of a tenure failed.
