Open a session with a worker again that has ended

A session that failed was logged and never opened again; one that was cancelled or that ended while the lease could not be renewed for a moment, in a tenure that went on, left no line but worker_closed. The leader then heard nothing of the worker for the rest of its tenure and still placed tasks on it, whose ends it never saw.

The worker counts as silent meanwhile: a session that always fails extends no lease, and the tasks run elsewhere once it has run out.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_master.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_master.py
@@ -264,6 +264,7 @@
 
     async def _follow_workers(self) -> None:
         while True:
+            self._reopen_sessions()
             await self._take_workers()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(1):
@@ -369,9 +370,26 @@
             self._committer.written,
         )
         self._sessions[report.worker_id] = session
-        task = asyncio.create_task(session.run())
-        task.add_done_callback(_report_failure)
-        self._session_tasks[report.worker_id] = task
+        self._session_tasks[report.worker_id] = asyncio.create_task(
+            session.run(),
+        )
+
+    def _reopen_sessions(self) -> None:
+        """Hold workers again whose session has ended before the tenure.
+
+        A session also ends when the lease cannot be renewed for a while; the
+        tenure goes on if a renewal is answered right after that.
+        """
+        grace_s = self._settings.hold_grace_s
+        if not self.tenure.may_hold(self._clock.now_s(), grace_s):
+            return
+        for worker_id, task in tuple(self._session_tasks.items()):
+            if task.done():
+                session = self._sessions[worker_id]
+                session.resume_after(failure_of(task))
+                self._session_tasks[worker_id] = asyncio.create_task(
+                    session.run(),
+                )
 
     def _launch(self, run: Run, ticket: str) -> None:
         self._sessions[run.worker_id].start(run, ticket)
@@ -420,8 +438,10 @@
 
     async def _close(self, keeping: asyncio.Task[None]) -> None:
         await _end([keeping, *self._session_tasks.values()])
-        for session in self._sessions.values():
-            await session.close()
+        await asyncio.gather(
+            *(session.close() for session in self._sessions.values()),
+            return_exceptions=True,
+        )
         await self._advisor.close()
 
 
@@ -431,6 +451,7 @@
     await asyncio.gather(*tasks, return_exceptions=True)
 
 
-def _report_failure(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        log_problem('worker_session_failed', error=repr(task.exception()))
+def _report_failure(closing: asyncio.Task[None]) -> None:
+    failure = failure_of(closing)
+    if failure is not None:
+        log_problem('worker_unclosed', error=repr(failure))
--- a/packages/currantreach-jobs/tests/test_failed_orders.py
+++ b/packages/currantreach-jobs/tests/test_failed_orders.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 
 import pytest
 
@@ -103,6 +104,75 @@
     play(scenario)
 
 
+@pytest.mark.parametrize('fault', FAULTS)
+def test_failed_session_is_opened_again(play, job, wait_until, fault):
+    """A worker whose session failed was not heard for the whole tenure."""
+
+    async def scenario(fleet, site):
+        worker = fleet.add('w1')
+        fleet.work_s = 3
+        host = site.start('a')
+        await host.intake.submit(job('4' * 16))
+        await wait_until(lambda: fleet.starts)
+        worker.faults['hold'].append(fault)
+        await wait_until(lambda: fleet.done, timeout_s=5)
+        await wait_until(lambda: shown(host, '4' * 16) == 'complete', 2)
+        await host.intake.submit(job('5' * 16))
+        await wait_until(lambda: len(fleet.done) == 2, timeout_s=5)
+        assert len(fleet.starts) == 2
+
+    play(scenario)
+
+
+def test_session_that_always_fails_gives_its_tasks_up(play, job, wait_until):
+    """Tasks of a worker whose lists cannot be taken run elsewhere.
+
+    The session must not extend their lease for ever meanwhile.
+    """
+
+    async def scenario(fleet, site):
+        worker = fleet.add('w1')
+        fleet.work_s = 3
+        host = site.start('a')
+        await host.intake.submit(job('6' * 16))
+        await wait_until(lambda: fleet.starts)
+        fleet.add('w2')
+        worker.faults['hold'] += itertools.repeat(FAULTS[0], 1000)
+        await wait_until(lambda: fleet.done['6' * 16] or fleet.done, 16)
+        await wait_until(lambda: shown(host, '6' * 16) == 'complete', 16)
+
+    play(scenario)
+
+
+def test_sessions_outlast_a_late_renewal(play, job, wait_until):
+    """A renewal that is answered late must not cost the workers.
+
+    Sessions ended when the lease could not be renewed in time. The tenure
+    went on if a renewal was answered before its own next look, and nothing
+    held the workers any more.
+    """
+
+    async def scenario(fleet, site):
+        fleet.add('w1')
+        host = site.start('a')
+        await wait_until(lambda: host.master and host.master.is_ready)
+        await wait_until(lambda: host.master.board.rooms['w1'].is_usable)
+        tenure = host.master.tenure
+        session = host.master._session_tasks['w1']
+        while not session.done():
+            is_over = host.master._is_over
+            host.master._is_over = lambda _: False
+            tenure.valid_until_s = fleet.clock.now_s() - 10
+            await asyncio.sleep(0.01)
+        host.master._is_over = is_over
+        tenure.valid_until_s = fleet.clock.now_s() + 1.4
+        await host.intake.submit(job('7' * 16))
+        await wait_until(lambda: shown(host, '7' * 16) == 'complete', 6)
+        assert host.master.tenure is tenure
+
+    play(scenario)
+
+
 @pytest.mark.parametrize('fault', FAULTS)
 def test_failed_part_ends_its_tenure_only(play, job, wait_until, fault):
     """A daemon must take the lead again after a part of a tenure failed.
@@ -198,3 +268,8 @@
         writing.cancel()
 
     play(scenario)
+
+
+def shown(host, job_id):
+    """Return the state that the leader shows for a job."""
+    return host.master.board.jobs[job_id].shown_state
