Leave a job out whose records cannot be used

One stored record that raised in the recovery (a stage without a number, a task or a step that does not exist) ended the loop that takes the lead, at each successor in turn; no job ran any more. An unreadable progress record was taken for none: tasks that were done or running were started again. After an unreadable record of the fleet, tasks were started beside runs on workers that nobody looked at. An unreadable epoch ended the loop as well. A cancellation or a repeated submission of an unreadable job ended with an untyped error.

A record is now checked against its job before anything is kept of it. A job whose records do not fit is left out with one log line and counted (job_unreadable): nothing of it is started, and it is shown as running, or as unavailable while the job itself is unreadable, but never as unknown. Without the record of the fleet the recovery waits until all leases have run out. An unreadable epoch is followed by the time of day in seconds.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_answers.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_answers.py
@@ -17,8 +17,8 @@
     job_key,
     progress_key,
 )
-from currantreach_telemetry import log_event
-from currantreach_types.errors import CurrantreachError
+from currantreach_telemetry import log_event, log_problem
+from currantreach_types.errors import CurrantreachError, MalformedMessageError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -26,7 +26,7 @@
     from currantreach_jobs._cell import Cell
     from currantreach_jobs._links import Links
     from currantreach_jobs._master import Master
-    from currantreach_platform import TransactionalStore
+    from currantreach_platform import KeyValue, TransactionalStore
 
 __all__ = ('Answers',)
 
@@ -147,5 +147,14 @@
         progress = await self._store.get(progress_key(job_id))
         state = JobState.QUEUED
         if progress is not None:
-            state = decode_progress(progress.stored).state
+            state = _stored_state(job_id, progress)
         return StateReply(state=state, queue=job.queue.name, team=job.team)
+
+
+def _stored_state(job_id: str, progress: KeyValue) -> JobState:
+    """Return the state that a record tells; an unreadable one tells none."""
+    try:
+        return decode_progress(progress.stored).state
+    except MalformedMessageError as error:
+        log_problem('progress_unreadable', job=job_id, error=error)
+        return JobState.RUNNING
--- a/packages/currantreach-jobs/src/currantreach_jobs/_board.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_board.py
@@ -47,6 +47,8 @@
         """Start empty.
 
         :ivar count_retry: counts a retry, by its reason.
+        :ivar unreadable: jobs whose records cannot be used. What they have
+            running is not known, so nothing of them is started.
         :ivar is_complete: set once all accepted jobs are known.
         :param mark_changed: called with the id of a job whose record has to
             be written.
@@ -54,6 +56,7 @@
         """
         self.jobs: dict[str, JobProgress] = {}
         self.open_jobs: dict[str, JobProgress] = {}
+        self.unreadable: set[str] = set()
         self.rooms: dict[str, WorkerRoom] = {}
         self.teams = TeamUse()
         self.pace = TeamPace()
@@ -81,8 +84,9 @@
         """Add an accepted job.
 
         :param weight: jobs a second that its team has a claim to.
+        :raises MalformedMessageError: if the record does not fit the job.
         """
-        if job.job_id in self.jobs:
+        if job.job_id in self.jobs or job.job_id in self.unreadable:
             return
         age_s = max(0, unix_now_ms() - job.accepted_unix_ms) / _MS_PER_S
         progress = JobProgress(
@@ -90,17 +94,13 @@
             first_attempt=first_attempt,
             accepted_at_s=self._clock.now_s() - age_s,
         )
+        progress.take_over(record)
         progress.is_excess = self.pace.note(
             job.team,
             weight,
             progress.accepted_at_s,
         )
-        is_over = record is not None and record.state.is_final
-        if not is_over:
-            progress.build()
-        if record is not None:
-            progress.restore(record)
-            self._count_held(progress)
+        self._count_held(progress)
         self.jobs[job.job_id] = progress
         if not progress.state.is_final:
             self.open_jobs[job.job_id] = progress
--- a/packages/currantreach-jobs/src/currantreach_jobs/_cell.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_cell.py
@@ -20,7 +20,7 @@
 from currantreach_jobs._terms import Tenure
 from currantreach_platform import KeyValue, Write
 from currantreach_telemetry import log_event, log_problem
-from currantreach_types import decode_packed, encode_packed
+from currantreach_types import decode_packed, encode_packed, unix_now_ms
 from currantreach_types.errors import (
     ConflictError,
     LostAnswerError,
@@ -50,6 +50,7 @@
 _NOTABLE_S = 0.25
 # Equal hosts spread over this time so that few of their transactions fail.
 _CAMPAIGN_SPREAD_S = 0.15
+_MS_PER_S = 1000
 
 
 async def shared_secret(store: TransactionalStore) -> bytes:
@@ -341,7 +342,7 @@
         found = await self._store.get(EPOCH_KEY)
         if found is None:
             found = KeyValue(key=EPOCH_KEY, stored=b'0', revision=0)
-        epoch = 1 + int(found.stored)
+        epoch = _next_epoch(found)
         try:
             revision = await self._store.commit(
                 {LEADER_KEY: 0, EPOCH_KEY: found.revision},
@@ -380,3 +381,15 @@
             ),
             Write(key=EPOCH_KEY, stored=str(epoch).encode()),
         ]
+
+
+def _next_epoch(found: KeyValue) -> int:
+    """Return an epoch above all earlier ones.
+
+    Epochs count elections, so the time of day in seconds is above them.
+    """
+    try:
+        return 1 + int(found.stored)
+    except ValueError:
+        log_problem('epoch_unreadable', stored=found.stored)
+        return unix_now_ms() // _MS_PER_S
--- a/packages/currantreach-jobs/src/currantreach_jobs/_feed.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_feed.py
@@ -23,7 +23,13 @@
 
     from currantreach_platform import KeyValue, Store
 
-__all__ = ('AcceptedJobs', 'JobFeed', 'read_jobs', 'read_progress')
+__all__ = (
+    'AcceptedJobs',
+    'JobFeed',
+    'StoredProgress',
+    'read_jobs',
+    'read_progress',
+)
 
 # A connection that went silent is noticed this late.
 _WATCH_S = 2
@@ -33,11 +39,15 @@
 
 @attrs.define(slots=True, eq=False)
 class AcceptedJobs:
-    """All jobs in the store, as of a revision."""
+    """All jobs in the store, as of a revision.
+
+    :ivar unreadable: ids under which something else than a job is stored.
+    """
 
     revision: int = 0
     jobs: dict[str, Job] = attrs.field(factory=dict)
     cancelled: list[str] = attrs.field(factory=list)
+    unreadable: list[str] = attrs.field(factory=list)
 
     def note(self, entry: KeyValue) -> None:
         """Note a key of a job or of its cancellation."""
@@ -50,6 +60,19 @@
             self.jobs[job_id] = decode_job(entry.stored)
         except MalformedMessageError as error:
             log_problem('job_unreadable', job=job_id, error=error)
+            self.unreadable.append(job_id)
+
+
+@attrs.define(slots=True, eq=False)
+class StoredProgress:
+    """Progress of all jobs in the store.
+
+    :ivar records: records by job, with their revisions.
+    :ivar unreadable: jobs whose record is none.
+    """
+
+    records: dict[str, tuple[ProgressRecord, int]] = attrs.field(factory=dict)
+    unreadable: set[str] = attrs.field(factory=set)
 
 
 async def read_jobs(store: Store) -> AcceptedJobs:
@@ -64,22 +87,23 @@
     return accepted
 
 
-async def read_progress(
-    store: Store,
-) -> dict[str, tuple[ProgressRecord, int]]:
-    """Read the progress of all jobs, with the revision of each record.
+async def read_progress(store: Store) -> StoredProgress:
+    """Read the progress of all jobs.
 
     :raises PlatformError: if the store does not answer.
     """
     found = await store.list_prefix(PROGRESS_PREFIX)
-    records: dict[str, tuple[ProgressRecord, int]] = {}
+    progress = StoredProgress()
     for entry in found.changed:
         job_id = entry.key.removeprefix(PROGRESS_PREFIX)
         try:
-            records[job_id] = decode_progress(entry.stored), entry.revision
+            record = decode_progress(entry.stored)
         except MalformedMessageError as error:
             log_problem('progress_unreadable', job=job_id, error=error)
-    return records
+            progress.unreadable.add(job_id)
+        else:
+            progress.records[job_id] = record, entry.revision
+    return progress
 
 
 class JobFeed:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_intake.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_intake.py
@@ -27,6 +27,8 @@
 from currantreach_types import unix_now_ms
 from currantreach_types.errors import (
     CurrantreachError,
+    LostAnswerError,
+    MalformedMessageError,
     PlatformError,
     StoreUnavailableError,
 )
@@ -39,7 +41,7 @@
     from currantreach_jobs._links import Links
     from currantreach_jobs._master import Master
     from currantreach_jobs._model import Job, SiteConfig
-    from currantreach_platform import TransactionalStore
+    from currantreach_platform import KeyValue, TransactionalStore
     from currantreach_types import Clock
 
 __all__ = ('Intake', 'Outcome', 'Verdict', 'reply_of')
@@ -190,7 +192,7 @@
             found = await self._store.get(job_key(job_id))
             if found is None:
                 return Verdict(outcome=Outcome.UNKNOWN_JOB)
-            job = decode_job(found.stored)
+            job = _stored_job(found)
             if job.queue.name != queue or job.team != team:
                 return Verdict(outcome=Outcome.UNKNOWN_JOB)
             await self._writer.create(cancel_key(job_id), b'')
@@ -238,12 +240,11 @@
     async def _refuse_for_load(self, job: Job, wait_s: float) -> Verdict:
         """Refuse a job unless it was accepted by an earlier call."""
         try:
-            found = await self._store.get(job_key(job.job_id))
+            if await self._store.get(job_key(job.job_id)) is not None:
+                return await self._repeated(job)
         except PlatformError as error:
             log_event('job_unknown', job=job.job_id, error=error)
             return Verdict(outcome=Outcome.UNKNOWN)
-        if found is not None:
-            return await self._repeated(job)
         log_event(
             'job_refused',
             job=job.job_id,
@@ -430,9 +431,21 @@
         found = await self._store.get(job_key(job.job_id))
         if found is None:
             raise StoreUnavailableError('the job was removed; submit it again')
-        first = decode_job(found.stored)
+        first = _stored_job(found)
         is_same = first.queue.name == job.queue.name and first.team == job.team
         log_event('job_repeated', job=job.job_id, is_same=is_same)
         return Verdict(
             outcome=Outcome.ACCEPTED if is_same else Outcome.ID_REUSED,
         )
+
+
+def _stored_job(found: KeyValue) -> Job:
+    """Return a stored job.
+
+    :raises LostAnswerError: if what is stored is none, as nothing can be said
+        of the job then.
+    """
+    try:
+        return decode_job(found.stored)
+    except MalformedMessageError as error:
+        raise LostAnswerError(f'{found.key}: {error}') from error
--- a/packages/currantreach-jobs/src/currantreach_jobs/_master.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_master.py
@@ -40,6 +40,7 @@
     from currantreach_jobs._model import Job, WorkerReport
     from currantreach_jobs._ports import Surroundings
     from currantreach_jobs._progress import Run
+    from currantreach_jobs._records import ProgressRecord
     from currantreach_jobs._terms import JobSettings, Tenure
     from currantreach_types import Clock
 
@@ -143,7 +144,7 @@
 
     def note_job(self, job: Job) -> None:
         """Take an accepted job over."""
-        self.board.add_job(job, weight=self._weight_of(job))
+        self._add_job(job, weight=self._weight_of(job))
 
     async def resign(self) -> None:
         """Write all that is noted and let another daemon decide."""
@@ -216,20 +217,18 @@
         # The workers are held while the jobs are read, as their leases run
         # on. Nothing else writes progress or removes jobs by now.
         await self._recover_fleet()
-        accepted, records = await asyncio.gather(
+        accepted, stored = await asyncio.gather(
             read_jobs(self._store),
             read_progress(self._store),
         )
-        for job_id, (record, revision) in records.items():
+        for unreadable_id in stored.unreadable.union(accepted.unreadable):
+            self._leave_out(unreadable_id)
+        for job_id, (record, revision) in stored.records.items():
             self._committer.note_revision(job_id, revision)
             if job_id in accepted.jobs:
-                self.board.add_job(
-                    accepted.jobs.pop(job_id),
-                    record,
-                    first_attempt,
-                )
+                self._add_job(accepted.jobs.pop(job_id), record, first_attempt)
         for job in accepted.jobs.values():
-            self.board.add_job(job, None, first_attempt)
+            self._add_job(job, None, first_attempt)
         for cancelled_id in accepted.cancelled:
             self.board.cancel(cancelled_id)
         self.board.settle_unlisted()
@@ -243,6 +242,25 @@
         )
         return accepted.revision
 
+    def _add_job(
+        self,
+        job: Job,
+        record: ProgressRecord | None = None,
+        first_attempt: int = 0,
+        weight: int = 0,
+    ) -> None:
+        """Add a job, or leave it out if its record does not fit it."""
+        try:
+            self.board.add_job(job, record, first_attempt, weight)
+        except MalformedMessageError as error:
+            log_problem('job_unusable', job=job.job_id, error=error)
+            self._leave_out(job.job_id)
+
+    def _leave_out(self, job_id: str) -> None:
+        """Start nothing of a job, as its runs and ends are not known."""
+        self.board.unreadable.add(job_id)
+        self.board.count_retry('job_unreadable')
+
     async def _recover_fleet(self) -> None:
         found = await self._store.get(FLEET_KEY)
         if found is None:
@@ -252,6 +270,12 @@
             fleet = decode_packed(found.stored, FleetRecord)
         except MalformedMessageError as error:
             log_problem('fleet_unreadable', error=error)
+            self.board.count_retry('fleet_unreadable')
+            # What runs where is not known until all leases have run out.
+            settings = self._settings
+            await asyncio.sleep(
+                settings.hold_grace_s + settings.longest_lease_s,
+            )
             return
         for report in fleet.workers:
             self._open_session(report)
--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -10,6 +10,7 @@
 from currantreach_jobs._model import Job, JobState, Step, TaskKey
 from currantreach_jobs._records import Place, ProgressRecord, StageRecord
 from currantreach_types import Resources
+from currantreach_types.errors import MalformedMessageError
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -186,7 +187,13 @@
         )
 
     def restore(self, record: StageRecord) -> None:
-        """Take over what an earlier owner had noted."""
+        """Take over what an earlier owner had noted.
+
+        :raises ValueError: if the record names a task that does not exist.
+        """
+        named = {*record.done, *record.failures, *record.placed}
+        if not named.issubset(range(self.step.task_count)):
+            raise ValueError(f'step {self.number} has no tasks {named}')
         indices = range(self.step.task_count) if record.is_done else record.done
         for index in indices:
             self.finish(index)
@@ -235,25 +242,6 @@
             return self.durable_state if is_settled else JobState.RUNNING
         return JobState.RUNNING if self.has_started else JobState.QUEUED
 
-    def build(self) -> None:
-        """Create the stages of all occurrences."""
-        self.objective_s = self.job.objective_s()
-        remaining_s = self.job.remaining_s()
-        for occurrence in range(max(1, self.job.occurrence_count)):
-            for number, step in enumerate(self.job.steps):
-                self.stages[occurrence, number] = Stage(
-                    owner=self,
-                    occurrence=occurrence,
-                    number=number,
-                    step=step,
-                    tasks=[
-                        TaskProgress(attempt_count=self.first_attempt)
-                        for _ in range(step.task_count)
-                    ],
-                    waiting=set(range(step.task_count)),
-                    remaining_s=remaining_s[number],
-                )
-
     def ready_stages(self, unix_ms: int) -> Iterator[Stage]:
         """Yield the stages with waiting tasks whose turn has come."""
         for stage in self.stages.values():
@@ -303,8 +291,44 @@
             },
         )
 
-    def restore(self, record: ProgressRecord) -> None:
-        """Take over what an earlier owner had noted."""
+    def build(self) -> None:
+        """Create the stages of all occurrences."""
+        if not self.job.steps:
+            # What is left of a job that has ended.
+            raise ValueError('the job has no steps')
+        self.objective_s = self.job.objective_s()
+        remaining_s = self.job.remaining_s()
+        for occurrence in range(max(1, self.job.occurrence_count)):
+            for number, step in enumerate(self.job.steps):
+                self.stages[occurrence, number] = Stage(
+                    owner=self,
+                    occurrence=occurrence,
+                    number=number,
+                    step=step,
+                    tasks=[
+                        TaskProgress(attempt_count=self.first_attempt)
+                        for _ in range(step.task_count)
+                    ],
+                    waiting=set(range(step.task_count)),
+                    remaining_s=remaining_s[number],
+                )
+
+    def take_over(self, record: ProgressRecord | None) -> None:
+        """Create the stages, with what an earlier owner had noted.
+
+        :raises MalformedMessageError: if the record does not fit the job.
+        """
+        try:
+            if record is None or not record.state.is_final:
+                self.build()
+            if record is not None:
+                self._restore(record)
+        except (LookupError, TypeError, ValueError) as error:
+            raise MalformedMessageError(
+                f'{error!r}; correct the records of job {self.job.job_id}',
+            ) from error
+
+    def _restore(self, record: ProgressRecord) -> None:
         self.state = record.state
         self.durable_state = record.state
         self.ended_unix_ms = record.ended_unix_ms
