Read the other rows of a list with one that cannot be read

A name in the lists of a worker that is none of this cell came out of the call as MalformedMessageError, which is no error of the platform, and ended the session with the worker. Any other row that could not be read (of a worker, of the placement service, of the store) voided the whole list each time it was read. An answer of the store without a field (KeyError, TypeError) ended the part that had asked.

Rows of others are passed over. If a row may be a run of this cell, the reply is partial and no run is given up for it. An end of an unknown kind is over without being done. A value that cannot be read is empty, so that it concerns its own key only. All other gaps are a LostAnswerError.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_model.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_model.py
@@ -323,6 +323,8 @@
     """Lists of a worker, as of its clock.
 
     :ivar is_fenced: whether the worker obeys a higher fencing token.
+    :ivar is_partial: whether a run of this cell may be missing, as a row could
+        not be read.
     """
 
     clock_ms: int
@@ -330,3 +332,4 @@
     running: tuple[RunningRun, ...] = ()
     ended: tuple[EndedRun, ...] = ()
     is_fenced: bool = False
+    is_partial: bool = False
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -243,7 +243,7 @@
             if found_run is not None and found_run.checkpoint:
                 task = run.stage.tasks[run.task.index]
                 task.checkpoint = found_run.checkpoint
-        if len(reply.ended) >= _FULL_LIST:
+        if reply.is_partial or len(reply.ended) >= _FULL_LIST:
             return
         for run in tuple(room.running()):
             is_listed = (run.task, run.attempt) in listed
--- a/packages/currantreach-jobs/tests/test_worker_session.py
+++ b/packages/currantreach-jobs/tests/test_worker_session.py
@@ -186,3 +186,17 @@
     )
     assert stage.waiting == {0}
     assert not stage.tasks[0].failure_count
+
+
+async def test_partial_list_gives_no_run_up(bench, job):
+    """A row that could not be read may be that of a run that seems gone."""
+    bench.board.add_job(job('9' * 16))
+    stage = bench.board.jobs['9' * 16].stages[0, 0]
+    run = bench.board.begin(stage, 0, 'w1', 1)
+    bench.board.confirm(run)
+    bench.clock.advance(1)
+    whole = HoldReply(clock_ms=2000, born_unix_ms=1)
+    await bench.hold(attrs.evolve(whole, is_partial=True))
+    assert stage.tasks[0].run is run
+    await bench.hold(whole)
+    assert stage.waiting == {0}
--- a/tests/adapter/test_calls.py
+++ b/tests/adapter/test_calls.py
@@ -14,6 +14,7 @@
 from currantreach_platform import Write
 from currantreach_types import Resources
 from currantreach_types.errors import (
+    CallRejectedError,
     ConflictError,
     HistoryLostError,
     LostAnswerError,
@@ -189,6 +190,91 @@
         await worker.hold(7, 0, 0, 0)
 
 
+def lists(**fields):
+    """Return an answer of a worker to a hold."""
+    rows = {'active': [], 'finished': []}
+    return 200, {'clockMs': 9, 'born': 5, **rows, **fields}
+
+
+@pytest.mark.parametrize(
+    ('row', 'is_partial'),
+    [
+        (['not.ours', 1, '', 0], False),
+        ([None, 1, '', 0], False),
+        ([TASK_NAME, None, '', 0], True),
+        (7, True),
+        ([], True),
+    ],
+)
+async def test_unreadable_run_voids_no_list(worker, peer, row, is_partial):
+    """One row kept the whole list of a worker from being read for ever.
+
+    A name that is none of this cell ended the session with the worker. Where
+    the row may be a run of this cell, none may be taken for gone.
+    """
+    peer.answers = [lists(active=[row, [TASK_NAME, 2, '', None]])]
+    reply = await worker.hold(7, 0, 0, 0)
+    assert [run.attempt for run in reply.running] == [2]
+    assert reply.is_partial is is_partial
+
+
+async def test_unreadable_end_voids_no_list(worker, peer):
+    """An end of an unknown kind is over, without being done or failed."""
+    ended = [
+        [1, 'not.ours', 1, 'done', ''],
+        [2, TASK_NAME],
+        [3, TASK_NAME, 1, 'melted', ''],
+        [4, TASK_NAME, 2, 'done', ''],
+    ]
+    peer.answers = [lists(finished=ended)]
+    reply = await worker.hold(7, 0, 0, 0)
+    assert [(end.number, end.kind) for end in reply.ended] == [
+        (3, EndKind.BROKEN),
+        (4, EndKind.DONE),
+    ]
+
+
+async def test_unreadable_ticket_voids_no_advice(peer):
+    """A row that cannot be read must not end the call for advice."""
+    advice = PlatformAdvice(peer.address)
+    peer.answers = [(200, {'allowed': [['w1'], 5, ['w2', 't']]})]
+    peer.answers.append((200, {'allowed': 'all'}))
+    tickets = await advice.advise('5c0e7a21d94b36f8', 0, 0, ['w1', 'w2'], 1)
+    assert [ticket.worker_id for ticket in tickets] == ['w2']
+    with pytest.raises(LostAnswerError):
+        await advice.advise('5c0e7a21d94b36f8', 0, 0, ['w1'], 1)
+    await advice.close()
+
+
+async def test_unreadable_value_voids_no_list(store, peer):
+    """One value kept all keys below its prefix from being read for ever."""
+    broken = {**item('a/1', b'x', 5), 'value': 'x'}
+    items = [broken, item('a/2', b'y', 6)]
+    peer.answers = [(200, {'items': items, 'hasMore': False, 'at': 9})]
+    found = await store.list_prefix('a/')
+    assert [entry.stored for entry in found.changed] == [b'', b'y']
+
+
+@pytest.mark.parametrize('fields', [{}, {'items': 5, 'events': 5, 'at': 'x'}])
+async def test_incomplete_answers_are_typed(store, peer, fields):
+    """An answer of the store that lacks a field ended its follower."""
+    peer.answers = [(200, fields), (200, fields), (200, fields)]
+    with pytest.raises(LostAnswerError):
+        await store.list_prefix('a/')
+    with pytest.raises(LostAnswerError):
+        await store.watch('a/', 4, 0.1)
+    with pytest.raises(LostAnswerError):
+        await store.commit({}, [])
+
+
+@pytest.mark.parametrize('status', [400, 403, 413])
+async def test_call_that_is_never_carried_out(store, peer, status):
+    """Such a call has to be told from one that may be repeated."""
+    peer.answers = [(status, {})]
+    with pytest.raises(CallRejectedError):
+        await store.commit({}, [])
+
+
 async def test_fenced_stop_is_told(worker, peer):
     """A daemon that was replaced has to learn it from a stop as well."""
     peer.answers = [(409, {'reason': 'fence'}), (200, {}), (503, {})]
