Free a daemon whose call for advice failed

A call for advice that ended by an exception other than an error of the product (a daemon that is gone by then, an unreadable ticket) stayed counted as under way for the rest of the tenure, so that its daemon was never taken for free before the time that the queue says, and left no line. The stage asked again after its time limit: no job stood still for this.

Each call that ends is settled now, and a failed one is logged and counted (advice_failed).

Before: test_failed_advice_is_asked_again fails at its last line, 'assert not True' for the calls under way; its job ends within the bound of 6 s on the code before as well. After: passes.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_advisor.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_advisor.py
@@ -7,8 +7,8 @@
 from typing import TYPE_CHECKING
 
 from currantreach_jobs._messages import AdviceReply, AdviceRequest
-from currantreach_telemetry import log_event
-from currantreach_types.errors import CurrantreachError
+from currantreach_jobs._supervision import failure_of
+from currantreach_telemetry import Metrics, log_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -83,6 +83,7 @@
         desk: AdviceDesk,
         clock: Clock,
         wake: Callable[[], None],
+        metrics: Metrics | None = None,
     ) -> None:
         """Start without outstanding calls.
 
@@ -97,7 +98,9 @@
         self._named: collections.Counter[str] = collections.Counter()
         self._allowed: collections.Counter[str] = collections.Counter()
         self._in_flight: collections.Counter[str] = collections.Counter()
-        self._calls: set[asyncio.Task[None]] = set()
+        self._metrics = metrics or Metrics()
+        self._calls: dict[asyncio.Task[None], tuple[AdviceRequest, str]] = {}
+        self._is_closed = False
 
     def ask(
         self,
@@ -128,8 +131,8 @@
             timeout_s=timeout_s,
         )
         call = asyncio.create_task(self._call(stage, advice, member, request))
-        self._calls.add(call)
-        call.add_done_callback(self._calls.discard)
+        self._calls[call] = request, member
+        call.add_done_callback(self._note_end)
         return True
 
     def likelihood(self, queue_name: str) -> float:
@@ -139,10 +142,11 @@
 
     async def close(self) -> None:
         """Give up all outstanding calls."""
+        self._is_closed = True
         for call in self._calls:
             call.cancel()
         if self._calls:
-            await asyncio.wait(self._calls)
+            await asyncio.wait(tuple(self._calls))
 
     def _choose(self, took_s: float, now_s: float) -> str:
         """Return the daemon through which a call is answered first."""
@@ -178,19 +182,9 @@
         request: AdviceRequest,
     ) -> None:
         asked_at_s = self._clock.now_s()
+        is_answered = False
         try:
             reply = await self._send(member, request)
-        except CurrantreachError as error:
-            log_event(
-                'advice_failed',
-                job=request.job_id,
-                step=request.step,
-                member=member,
-                error=error,
-            )
-            self._in_flight[member] -= 1
-            self._busy_until_s[member] = self._clock.now_s() + _SUSPECT_S
-        else:
             log_event(
                 'advice_given',
                 job=request.job_id,
@@ -200,19 +194,41 @@
                 allowed=len(reply.tickets),
                 after_s=round(self._clock.now_s() - asked_at_s, 3),
             )
-            valid_until_s = (
-                self._clock.now_s() + advice.ticket_s - _TICKET_SLACK_S
-            )
-            self._learn(stage, request, reply)
-            for worker_id in request.worker_ids:
-                code = reply.tickets.get(worker_id)
-                stage.allowed[worker_id] = code is not None
-                if code is not None:
-                    stage.tickets[worker_id] = (code, valid_until_s)
-            self._free(member)
-        stage.asked_until_s = 0
-        stage.next_look_s = 0
-        self._wake()
+            self._take(stage, advice, request, reply)
+            is_answered = True
+        finally:
+            self._free(stage, member, is_answered)
+
+    def _take(
+        self,
+        stage: Stage,
+        advice: Advice,
+        request: AdviceRequest,
+        reply: AdviceReply,
+    ) -> None:
+        """Note the verdicts and tickets of a call."""
+        valid_until_s = self._clock.now_s() + advice.ticket_s - _TICKET_SLACK_S
+        self._learn(stage, request, reply)
+        for worker_id in request.worker_ids:
+            code = reply.tickets.get(worker_id)
+            stage.allowed[worker_id] = code is not None
+            if code is not None:
+                stage.tickets[worker_id] = (code, valid_until_s)
+
+    def _note_end(self, call: asyncio.Task[None]) -> None:
+        """Report a call that failed, for whatever reason."""
+        request, member = self._calls.pop(call)
+        failure = failure_of(call)
+        if failure is None or self._is_closed:
+            return
+        self._metrics.retried('advice_failed')
+        log_event(
+            'advice_failed',
+            job=request.job_id,
+            step=request.step,
+            member=member,
+            error=repr(failure),
+        )
 
     def _learn(
         self,
@@ -227,11 +243,17 @@
                 self._named[queue_name] += 1
                 self._allowed[queue_name] += worker_id in reply.tickets
 
-    def _free(self, member: str) -> None:
+    def _free(self, stage: Stage, member: str, is_answered: bool) -> None:
         """Note that a call ended, maybe earlier than expected."""
+        stage.asked_until_s = 0
+        stage.next_look_s = 0
+        now_s = self._clock.now_s()
         self._in_flight[member] -= 1
-        if not self._in_flight[member]:
-            self._busy_until_s[member] = self._clock.now_s()
+        if not is_answered:
+            self._busy_until_s[member] = now_s + _SUSPECT_S
+        elif not self._in_flight[member]:
+            self._busy_until_s[member] = now_s
+        self._wake()
 
     async def _send(self, member: str, request: AdviceRequest) -> AdviceReply:
         if member == self._cell.daemon_id:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_master.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_master.py
@@ -107,7 +107,14 @@
             outside.metrics,
         )
         self._committer.jobs = self.board.jobs
-        self._advisor = Advisor(cell, links, desk, clock, self._wake.set)
+        self._advisor = Advisor(
+            cell,
+            links,
+            desk,
+            clock,
+            self._wake.set,
+            outside.metrics,
+        )
         self._decider = Decider(
             self.board,
             self._advisor,
--- a/packages/currantreach-jobs/tests/conftest.py
+++ b/packages/currantreach-jobs/tests/conftest.py
@@ -529,6 +529,7 @@
         self.restarts = []
         self.allowed = None
         self.advice_calls = []
+        self.advice_faults = []
         self.settled = {}
         self.known_config = SiteConfig(
             version=1,
@@ -562,6 +563,8 @@
     async def advise(self, job_id, occurrence, step, worker_ids, timeout_s):
         self.advice_calls.append((job_id, tuple(worker_ids)))
         await asyncio.sleep(0.5)
+        if self.advice_faults:
+            raise self.advice_faults.pop(0)
         return tuple(
             Ticket(worker_id=name, code=f'ticket-{name}')
             for name in worker_ids
--- a/packages/currantreach-jobs/tests/test_failed_orders.py
+++ b/packages/currantreach-jobs/tests/test_failed_orders.py
@@ -218,6 +218,28 @@
     )
 
 
+@pytest.mark.parametrize('fault', FAULTS)
+def test_failed_advice_is_asked_again(
+    play,
+    job,
+    wait_until,
+    advised_queue,
+    fault,
+):
+    """A call for advice that failed stayed counted as under way."""
+
+    async def scenario(fleet, site):
+        fleet.add('w1')
+        host = site.start('a')
+        fleet.advice_faults.append(fault)
+        await host.intake.submit(job('a' * 16, queue=advised_queue))
+        await wait_until(lambda: fleet.done, timeout_s=6)
+        advisor = host.master._advisor
+        assert not any(advisor._in_flight.values())
+
+    play(scenario)
+
+
 class FaultyStore:
     """Store whose transactions fail while they hold the record of a job."""
 
