--- a/packages/currantreach-jobs/src/currantreach_jobs/_master.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_master.py
@@ -20,6 +20,7 @@
     job_key,
     progress_key,
 )
+from currantreach_jobs._supervision import failure_of
 from currantreach_jobs._worker_session import WorkerSession
 from currantreach_platform import Write
 from currantreach_telemetry import log_event, log_problem
@@ -39,6 +40,7 @@
     from currantreach_jobs._model import Job, WorkerReport
     from currantreach_jobs._ports import Surroundings
     from currantreach_jobs._progress import Run
+    from currantreach_jobs._records import ProgressRecord
     from currantreach_jobs._terms import JobSettings, Tenure
     from currantreach_types import Clock
 
@@ -92,7 +94,12 @@
         self._settings = settings
         self._clock = clock
         self._wake = asyncio.Event()
-        self._committer = Committer(outside.store, tenure, clock)
+        self._committer = Committer(
+            outside.store,
+            tenure,
+            clock,
+            outside.metrics,
+        )
         self.board = Board(
             clock,
             self._committer.mark,
@@ -100,7 +107,14 @@
             outside.metrics,
         )
         self._committer.jobs = self.board.jobs
-        self._advisor = Advisor(cell, links, desk, clock, self._wake.set)
+        self._advisor = Advisor(
+            cell,
+            links,
+            desk,
+            clock,
+            self._wake.set,
+            outside.metrics,
+        )
         self._decider = Decider(
             self.board,
             self._advisor,
@@ -137,7 +151,7 @@
 
     def note_job(self, job: Job) -> None:
         """Take an accepted job over."""
-        self.board.add_job(job, weight=self._weight_of(job))
+        self._add_job(job, weight=self._weight_of(job))
 
     async def resign(self) -> None:
         """Write all that is noted and let another daemon decide."""
@@ -198,7 +212,7 @@
     def _is_over(self, tasks: list[asyncio.Task[None]]) -> bool:
         for task in tasks:
             if task.done() and not self.tenure.is_over:
-                log_problem('part_failed', error=task.exception())
+                log_problem('part_failed', error=repr(failure_of(task)))
                 return True
         now_s = self._clock.now_s()
         grace_s = self._settings.hold_grace_s
@@ -210,20 +224,18 @@
         # The workers are held while the jobs are read, as their leases run
         # on. Nothing else writes progress or removes jobs by now.
         await self._recover_fleet()
-        accepted, records = await asyncio.gather(
+        accepted, stored = await asyncio.gather(
             read_jobs(self._store),
             read_progress(self._store),
         )
-        for job_id, (record, revision) in records.items():
+        for unreadable_id in stored.unreadable.union(accepted.unreadable):
+            self._leave_out(unreadable_id)
+        for job_id, (record, revision) in stored.records.items():
             self._committer.note_revision(job_id, revision)
             if job_id in accepted.jobs:
-                self.board.add_job(
-                    accepted.jobs.pop(job_id),
-                    record,
-                    first_attempt,
-                )
+                self._add_job(accepted.jobs.pop(job_id), record, first_attempt)
         for job in accepted.jobs.values():
-            self.board.add_job(job, None, first_attempt)
+            self._add_job(job, None, first_attempt)
         for cancelled_id in accepted.cancelled:
             self.board.cancel(cancelled_id)
         self.board.settle_unlisted()
@@ -237,6 +249,25 @@
         )
         return accepted.revision
 
+    def _add_job(
+        self,
+        job: Job,
+        record: ProgressRecord | None = None,
+        first_attempt: int = 0,
+        weight: int = 0,
+    ) -> None:
+        """Add a job, or leave it out if its record does not fit it."""
+        try:
+            self.board.add_job(job, record, first_attempt, weight)
+        except MalformedMessageError as error:
+            log_problem('job_unusable', job=job.job_id, error=error)
+            self._leave_out(job.job_id)
+
+    def _leave_out(self, job_id: str) -> None:
+        """Start nothing of a job, as its runs and ends are not known."""
+        self.board.unreadable.add(job_id)
+        self.board.count_retry('job_unreadable')
+
     async def _recover_fleet(self) -> None:
         found = await self._store.get(FLEET_KEY)
         if found is None:
@@ -246,6 +277,12 @@
             fleet = decode_packed(found.stored, FleetRecord)
         except MalformedMessageError as error:
             log_problem('fleet_unreadable', error=error)
+            self.board.count_retry('fleet_unreadable')
+            # What runs where is not known until all leases have run out.
+            settings = self._settings
+            await asyncio.sleep(
+                settings.hold_grace_s + settings.longest_lease_s,
+            )
             return
         for report in fleet.workers:
             self._open_session(report)
@@ -258,6 +295,7 @@
 
     async def _follow_workers(self) -> None:
         while True:
+            self._reopen_sessions()
             await self._take_workers()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(1):
@@ -363,9 +401,26 @@
             self._committer.written,
         )
         self._sessions[report.worker_id] = session
-        task = asyncio.create_task(session.run())
-        task.add_done_callback(_report_failure)
-        self._session_tasks[report.worker_id] = task
+        self._session_tasks[report.worker_id] = asyncio.create_task(
+            session.run(),
+        )
+
+    def _reopen_sessions(self) -> None:
+        """Hold workers again whose session has ended before the tenure.
+
+        A session also ends when the lease cannot be renewed for a while; the
+        tenure goes on if a renewal is answered right after that.
+        """
+        grace_s = self._settings.hold_grace_s
+        if not self.tenure.may_hold(self._clock.now_s(), grace_s):
+            return
+        for worker_id, task in tuple(self._session_tasks.items()):
+            if task.done():
+                session = self._sessions[worker_id]
+                session.resume_after(failure_of(task))
+                self._session_tasks[worker_id] = asyncio.create_task(
+                    session.run(),
+                )
 
     def _launch(self, run: Run, ticket: str) -> None:
         self._sessions[run.worker_id].start(run, ticket)
@@ -414,8 +469,10 @@
 
     async def _close(self, keeping: asyncio.Task[None]) -> None:
         await _end([keeping, *self._session_tasks.values()])
-        for session in self._sessions.values():
-            await session.close()
+        await asyncio.gather(
+            *(session.close() for session in self._sessions.values()),
+            return_exceptions=True,
+        )
         await self._advisor.close()
 
 
@@ -425,6 +482,7 @@
     await asyncio.gather(*tasks, return_exceptions=True)
 
 
-def _report_failure(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        log_problem('worker_session_failed', error=repr(task.exception()))
+def _report_failure(closing: asyncio.Task[None]) -> None:
+    failure = failure_of(closing)
+    if failure is not None:
+        log_problem('worker_unclosed', error=repr(failure))
--- a/packages/currantreach-jobs/tests/conftest.py
+++ b/packages/currantreach-jobs/tests/conftest.py
@@ -234,7 +234,10 @@
 
 
 class OwnStore(TransactionalStore):
-    """View of the store that one daemon has; it may be turned away."""
+    """View of the store that one daemon has; it may be turned away.
+
+    ``faults`` are exceptions that the next watches of a prefix end with.
+    """
 
     max_entries = MemoryStore.max_entries
 
@@ -242,6 +245,7 @@
         self.store = store
         self.is_rejected = False
         self.is_silent = False
+        self.faults = collections.defaultdict(list)
 
     async def get(self, key):
         return await self._call(self.store.get, key)
@@ -268,6 +272,8 @@
         return await self._call(self.store.revoke_lease, lease_id)
 
     async def watch(self, prefix, after_revision, timeout_s):
+        if self.faults[prefix]:
+            raise self.faults[prefix].pop(0)
         return await self._call(
             self.store.watch,
             prefix,
@@ -309,7 +315,8 @@
     """Worker that keeps fences, leases and numbers of runs.
 
     ``silent`` drops every call, ``late_starts`` counts starts that are
-    answered by nothing and carried out by :meth:`carry_out`.
+    answered by nothing and carried out by :meth:`carry_out`, and ``faults``
+    are exceptions that the next calls of a kind end with.
     """
 
     def __init__(self, fleet, worker_id, rate=1):
@@ -318,6 +325,7 @@
         self.rate = rate
         self.silent = False
         self.mute = False
+        self.faults = collections.defaultdict(list)
         self.late_starts = 0
         self.delayed = []
         self.refusal = None
@@ -464,7 +472,7 @@
         self.worker = worker
 
     async def start(self, order):
-        await self._enter()
+        await self._enter('start')
         if self.worker.late_starts:
             self.worker.late_starts -= 1
             self.worker.delayed.append(order)
@@ -473,11 +481,11 @@
         return self._answer(self.worker.start(order))
 
     async def stop(self, task, attempt, token):
-        await self._enter()
+        await self._enter('stop')
         return self._answer(self.worker.stop(task, attempt, token))
 
     async def hold(self, token, acked_through, worker_deadline_ms, wait_s):
-        await self._enter()
+        await self._enter('hold')
         worker = self.worker
         reply = worker.hold(token, acked_through, worker_deadline_ms)
         until_s = worker.fleet.clock.now_s() + wait_s
@@ -490,8 +498,10 @@
     async def close(self):
         """Nothing is open."""
 
-    async def _enter(self):
+    async def _enter(self, kind):
         await asyncio.sleep(0.003)
+        if self.worker.faults[kind]:
+            raise self.worker.faults[kind].pop(0)
         if self.worker.silent:
             await asyncio.sleep(0.6)
             raise WorkerUnavailableError('silent')
@@ -519,6 +529,7 @@
         self.restarts = []
         self.allowed = None
         self.advice_calls = []
+        self.advice_faults = []
         self.settled = {}
         self.known_config = SiteConfig(
             version=1,
@@ -552,6 +563,8 @@
     async def advise(self, job_id, occurrence, step, worker_ids, timeout_s):
         self.advice_calls.append((job_id, tuple(worker_ids)))
         await asyncio.sleep(0.5)
+        if self.advice_faults:
+            raise self.advice_faults.pop(0)
         return tuple(
             Ticket(worker_id=name, code=f'ticket-{name}')
             for name in worker_ids
