Take the ports of the test bed from outside the range of connections

Seen: in 2 of 96 runs of proofs/test_configuration.py::test_lost_answer_to_apply beside load a daemon ended at its start with "Address already in use" for its peer port.

Cause: a free port was asked of the system, closed and written into the settings. Until the daemon listened on it, the system could give it to a connection or another cell.

Change: ports come from below the range of outgoing connections, and each test process counts through them from a place of its own. Another process can still take one; this is less likely, but not excluded.

Evidence: test_ports_are_not_taken_by_connections failed with "59641 < 32768" and passes.

--- a/testbed/_process.py
+++ b/testbed/_process.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
+import itertools
 import os
+import secrets
 import signal
 import socket
 import sys
@@ -21,19 +22,24 @@
 # threads, and an environment that is inherited meanwhile fails some starts
 # with EFAULT.
 _ENVIRONMENT = types.MappingProxyType(dict(os.environ))
+# Linux gives the ports from 32768 on to outgoing connections, also those that
+# a process is about to listen on.
+_FIRST_PORT = 20000
+_PORT_COUNT = 12000
+# Cells of other test processes begin elsewhere.
+_PORT_NUMBERS = itertools.count(secrets.randbelow(_PORT_COUNT))
 _READY_TIMEOUT_S = 20
 _END_TIMEOUT_S = 5
 
 
 def free_ports(count: int) -> list[int]:
     """Return ports that were free a moment ago."""
-    with contextlib.ExitStack() as stack:
-        sockets = [
-            stack.enter_context(socket.socket()) for _number in range(count)
-        ]
-        for opened in sockets:
-            opened.bind(('127.0.0.1', 0))
-        return [opened.getsockname()[1] for opened in sockets]
+    ports: list[int] = []
+    while len(ports) < count:
+        port = _FIRST_PORT + next(_PORT_NUMBERS) % _PORT_COUNT
+        if _is_free(port):
+            ports.append(port)
+    return ports
 
 
 class Process:
@@ -127,3 +133,12 @@
         if self._child is None:
             raise RuntimeError(f'{self.name} was not started; call start()')
         return self._child
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as opened:
+        try:
+            opened.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+    return True
--- a/tests/test_testbed.py
+++ b/tests/test_testbed.py
@@ -25,6 +25,16 @@
     assert b'PYTEST_CURRENT_TEST=' not in given
 
 
+def test_ports_are_not_taken_by_connections():
+    """A process cannot listen since a connection was given its port."""
+    limits = pathlib.Path('/proc/sys/net/ipv4/ip_local_port_range')
+    first_given = int(limits.read_text().split()[0])
+    ports = free_ports(50)
+    assert len(set(ports)) == 50
+    assert max(ports) < first_given
+    assert not set(ports) & set(free_ports(50))
+
+
 class LateCell(Cell):
     """Cell in which one daemon takes long to start."""
 
