Report why a stage whose turn has come is not started

After a takeover an accepted job stood still for up to twenty seconds and no line told what it waited for: there are lines for what is started, none for what is not.

The decider now notes for each stage what kept it back, and the leader looks at all waiting stages twice a second. A stage that has waited for a second since its turn came or its last run is written as stage_waiting with the input that decided it, again each time its wait has doubled, the longest waits first and at most ten lines a look. Runs that lapsed, were broken or were stopped left no line and are written as run_cut_short. Gauges count waiting stages by reason and workers by state; advice_failed, start_unsure and the kinds of run_cut_short are counted as retries.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_advisor.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_advisor.py
@@ -18,6 +18,7 @@
     from currantreach_jobs._model import Advice
     from currantreach_jobs._ports import AdvicePort
     from currantreach_jobs._progress import Stage
+    from currantreach_telemetry import Metrics
     from currantreach_types import Clock
 
 __all__ = ('AdviceDesk', 'Advisor')
@@ -83,6 +84,7 @@
         desk: AdviceDesk,
         clock: Clock,
         wake: Callable[[], None],
+        metrics: Metrics,
     ) -> None:
         """Start without outstanding calls.
 
@@ -93,6 +95,7 @@
         self._desk = desk
         self._clock = clock
         self._wake = wake
+        self._metrics = metrics
         self._busy_until_s: dict[str, float] = collections.defaultdict(float)
         self._named: collections.Counter[str] = collections.Counter()
         self._allowed: collections.Counter[str] = collections.Counter()
@@ -181,6 +184,7 @@
         try:
             reply = await self._send(member, request)
         except CurrantreachError as error:
+            self._metrics.retried('advice_failed')
             log_event(
                 'advice_failed',
                 job=request.job_id,
--- a/packages/currantreach-jobs/src/currantreach_jobs/_board.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_board.py
@@ -169,6 +169,8 @@
         if run.phase is RunPhase.STARTING:
             run.phase = RunPhase.RUNNING
         run.stage.owner.has_started = True
+        if not run.stage.step.is_gang or run.stage.is_whole():
+            run.stage.begin_wait(self._clock.now_s())
 
     def refuse(self, run: Run, reason: str) -> None:
         """Note that a worker certainly did not start a run."""
@@ -187,8 +189,13 @@
         if stage.step.is_gang:
             self.stop_stage(stage)
 
-    def stop(self, run: Run) -> None:
-        """Ask for a run to be stopped."""
+    def stop(self, run: Run, reason: str = '') -> None:
+        """Ask for a run to be stopped.
+
+        :param reason: counted as the reason of a retry, if there is one.
+        """
+        if reason:
+            self._metrics.retried(reason)
         if run.phase not in {RunPhase.STOPPING, RunPhase.OVER}:
             run.phase = RunPhase.STOPPING
             run.settled_at_s = 0
@@ -204,14 +211,7 @@
     def lose_run(self, run: Run) -> None:
         """Note that a run is over without an end that counts."""
         self._metrics.retried('run_lost')
-        log_event(
-            'run_lost',
-            job=run.task.job_id,
-            step=run.task.step,
-            task=run.task.index,
-            attempt=run.attempt,
-            worker=run.worker_id,
-        )
+        _log_run('run_lost', run, run.worker_id)
         self._release(run)
         if run.stage.step.is_gang:
             self.stop_stage(run.stage)
@@ -301,8 +301,11 @@
             self._note_done(stage, ended, worker_id)
         elif ended.kind is EndKind.FAILED:
             self._note_failed(stage, ended, worker_id)
-        elif stage.step.is_gang:
-            self.stop_stage(stage)
+        else:
+            self._metrics.retried(f'run_{ended.kind}')
+            _log_run('run_cut_short', ended, worker_id, how=ended.kind)
+            if stage.step.is_gang:
+                self.stop_stage(stage)
 
     def ready_stages(self) -> Iterator[Stage]:
         """Yield all stages with tasks that may be started."""
@@ -366,13 +369,10 @@
             self.stop_stage(stage)
             failures = sum(member.failure_count for member in stage.tasks)
         self._metrics.retried('run_failed')
-        log_event(
+        _log_run(
             'run_failed',
-            job=ended.task.job_id,
-            step=ended.task.step,
-            task=ended.task.index,
-            attempt=ended.attempt,
-            worker=worker_id,
+            ended,
+            worker_id,
             failures=failures,
             most=progress.job.queue.max_attempts,
         )
@@ -428,6 +428,8 @@
         if room is None or (run.task, run.attempt) not in room.runs:
             return
         room.remove(run)
+        if run.phase is not RunPhase.STARTING and not run.stage.waiting:
+            run.stage.begin_wait(self._clock.now_s())
         # An order that was not sent yet must not be sent any more.
         run.phase = RunPhase.OVER
         self.teams.remove(run.stage.owner.job.team, run.stage.step.needed)
@@ -438,3 +440,20 @@
             if not task.is_done and not stage.owner.state.is_final:
                 stage.waiting.add(run.task.index)
         self._wake()
+
+
+def _log_run(
+    event: str,
+    run: Run | EndedRun,
+    worker_id: str,
+    **fields: object,
+) -> None:
+    log_event(
+        event,
+        job=run.task.job_id,
+        step=run.task.step,
+        task=run.task.index,
+        attempt=run.attempt,
+        worker=worker_id,
+        **fields,
+    )
--- a/packages/currantreach-jobs/src/currantreach_jobs/_daemon.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_daemon.py
@@ -97,6 +97,16 @@
             lambda: self.master,
         )
         self._is_open = False
+        outside.metrics.add_gauge(
+            'currantreach_waiting_stages',
+            lambda: self.master.waits.counts() if self.master else {},
+            'reason',
+        )
+        outside.metrics.add_gauge(
+            'currantreach_workers',
+            lambda: self.master.worker_counts() if self.master else {},
+            'state',
+        )
 
     @property
     def config(self) -> SiteConfig | None:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from currantreach_jobs._obstacles import Obstacle
 from currantreach_jobs._placement import (
     assign,
     eligible_rooms,
@@ -82,23 +83,18 @@
             key=lambda stage: _urgency(stage, now_s),
         )
         for stage in stages:
-            if self._may_begin(stage, now_s):
-                self._try(stage, now_s)
+            stage.note_turn(now_s)
+            obstacle = _obstacle_before(stage, now_s)
+            if obstacle is None:
+                obstacle = self._try(stage, now_s)
+            stage.obstacle = obstacle or stage.obstacle
         self._metrics.decided(self._clock.now_s() - now_s)
 
-    def _may_begin(self, stage: Stage, now_s: float) -> bool:
-        if now_s < stage.retry_at_s:
-            return False
-        # A gang keeps its reservation up while it waits for advice.
-        if not stage.step.is_gang and stage.is_waiting_for_advice(now_s):
-            return False
-        is_partial = len(stage.waiting) < stage.step.task_count
-        return not (stage.step.is_gang and is_partial)
-
-    def _try(self, stage: Stage, now_s: float) -> None:
+    def _try(self, stage: Stage, now_s: float) -> Obstacle | None:
+        """Start what has room; return what keeps the rest, if it is news."""
         most = self._team_room(stage)
         if not most or (stage.step.is_gang and most < stage.step.task_count):
-            return
+            return Obstacle.TEAM_LIMIT
         advice = stage.owner.job.queue.advice
         permitted = list(self._open_rooms.values())
         if advice is not None:
@@ -106,14 +102,26 @@
         permitted = eligible_rooms(stage, permitted, now_s)
         assigned = assign(stage, permitted, most)
         self._start(stage, assigned)
-        if not stage.waiting or assigned or now_s < stage.next_look_s:
-            return
+        if assigned:
+            is_limited = len(assigned) >= most
+            return Obstacle.TEAM_LIMIT if is_limited else Obstacle.NO_ROOM
+        if now_s < stage.next_look_s:
+            return None
+        return self._look(stage, now_s)
+
+    def _look(self, stage: Stage, now_s: float) -> Obstacle:
+        """Ask for advice or reserve room for a stage that found none."""
+        advice = stage.owner.job.queue.advice
+        obstacle = Obstacle.NO_ROOM
         stage.next_look_s = now_s + _LOOK_S
         rooms = eligible_rooms(stage, self._open_rooms.values(), now_s)
-        if advice is not None and now_s >= stage.asked_until_s:
-            self._ask(stage, advice, rooms, now_s)
+        if now_s < stage.asked_until_s:
+            obstacle = Obstacle.ADVICE_PENDING
+        elif advice is not None:
+            obstacle = self._ask(stage, advice, rooms, now_s)
         if stage.step.is_gang:
             self._reserve(stage, rooms, now_s)
+        return obstacle
 
     def _rooms_with_tickets(
         self,
@@ -192,7 +200,7 @@
         advice: Advice,
         rooms: Sequence[WorkerRoom],
         now_s: float,
-    ) -> None:
+    ) -> Obstacle:
         """Ask for workers that are not known to be forbidden."""
         open_rooms = [
             room
@@ -203,7 +211,7 @@
         wanted = len(stage.waiting) if stage.step.is_gang else 1
         fitting = sum(fitting_count(stage, room) for room in open_rooms)
         if fitting < wanted and not least:
-            return
+            return Obstacle.NO_ROOM
         named = rooms_to_ask(
             stage,
             open_rooms,
@@ -211,12 +219,28 @@
             now_s + advice.fixed_s + _CALL_MARGIN_S,
             least,
         )
-        if named:
-            self._advisor.ask(
-                stage,
-                advice,
-                [room.report.worker_id for room in named],
-            )
+        if not named:
+            return Obstacle.NO_ROOM
+        is_asked = self._advisor.ask(
+            stage,
+            advice,
+            [room.report.worker_id for room in named],
+        )
+        if is_asked:
+            return Obstacle.ADVICE_PENDING
+        return Obstacle.NO_ADVISER_FREE
+
+
+def _obstacle_before(stage: Stage, now_s: float) -> Obstacle | None:
+    """Return what keeps a stage from being tried at all."""
+    if now_s < stage.retry_at_s:
+        return Obstacle.PAUSED
+    # A gang keeps its reservation up while it waits for advice.
+    if not stage.step.is_gang and stage.is_waiting_for_advice(now_s):
+        return Obstacle.ADVICE_PENDING
+    if stage.step.is_gang and len(stage.waiting) < stage.step.task_count:
+        return Obstacle.GANG_INCOMPLETE
+    return None
 
 
 def _least_named(stage: Stage, advice: Advice) -> int:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_master.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_master.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 from typing import TYPE_CHECKING
 
@@ -12,6 +13,7 @@
 from currantreach_jobs._decider import Decider
 from currantreach_jobs._feed import JobFeed, read_jobs, read_progress
 from currantreach_jobs._load import Load, measure
+from currantreach_jobs._obstacles import Obstacle
 from currantreach_jobs._records import (
     FLEET_KEY,
     LEADER_KEY,
@@ -22,6 +24,11 @@
     job_key,
     progress_key,
 )
+from currantreach_jobs._waiting import (
+    WaitMonitor,
+    WorkerState,
+    state_of_worker,
+)
 from currantreach_jobs._worker_session import WorkerSession
 from currantreach_platform import Write
 from currantreach_telemetry import log_event, log_problem
@@ -105,7 +112,15 @@
             outside.metrics,
         )
         self._committer.jobs = self.board.jobs
-        self._advisor = Advisor(cell, links, desk, clock, self._wake.set)
+        self.waits = WaitMonitor(self.board, clock, self._lease_over_s)
+        self._advisor = Advisor(
+            cell,
+            links,
+            desk,
+            clock,
+            self._wake.set,
+            outside.metrics,
+        )
         self._decider = Decider(
             self.board,
             self._advisor,
@@ -145,6 +160,23 @@
         """Take an accepted job over."""
         self.board.add_job(job, weight=self._weight_of(job))
 
+    def worker_counts(self) -> dict[str, float]:
+        """Return the number of workers by their state."""
+        now_s = self._clock.now_s()
+        counts: collections.Counter[str] = collections.Counter(
+            dict.fromkeys(WorkerState, 0),
+        )
+        for worker_id, session in self._sessions.items():
+            room = self.board.rooms[worker_id]
+            state = state_of_worker(
+                room,
+                session.is_silent,
+                session.is_adopted,
+                now_s,
+            )
+            counts[state] += 1
+        return dict(counts)
+
     async def resign(self) -> None:
         """Write all that is noted and let another daemon decide."""
         if self.tenure.is_over:
@@ -186,8 +218,10 @@
         self.is_ready = True
         while not self._is_over(tasks):
             began_s = self._clock.now_s()
-            if self._may_start():
+            gate = self._gate()
+            if gate is None:
                 self._decider.decide()
+            self.waits.note_round(gate)
             self._send_stops()
             took_s = self._clock.now_s() - began_s
             await asyncio.sleep(max(_ROUND_S, _REST_FACTOR * took_s))
@@ -196,11 +230,17 @@
                     await self._wake.wait()
             self._wake.clear()
 
-    def _may_start(self) -> bool:
-        """Tell whether runs may be started, and would be ordered soon."""
+    def _gate(self) -> Obstacle | None:
+        """Return what keeps all runs from being ordered soon, if any."""
         if self._committer.lag_s() > _MOST_LAG_S:
-            return False
-        return self.tenure.may_start(self._clock.now_s())
+            return Obstacle.RECORDS_UNWRITTEN
+        if self.tenure.may_start(self._clock.now_s()):
+            return None
+        return Obstacle.NO_LEASE
+
+    def _lease_over_s(self, worker_id: str) -> float:
+        session = self._sessions.get(worker_id)
+        return session.lease_over_s if session else 0
 
     def _is_over(self, tasks: list[asyncio.Task[None]]) -> bool:
         for task in tasks:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
@@ -14,6 +14,7 @@
 
 __all__ = (
     'assign',
+    'can_ever_take',
     'eligible_rooms',
     'fitting_count',
     'rooms_to_ask',
@@ -66,6 +67,15 @@
     return whole_room_count(stage, room.report.room)
 
 
+def can_ever_take(stage: Stage, room: WorkerRoom) -> bool:
+    """Tell whether a worker has the service and label of a stage."""
+    report = room.report
+    if report.service != stage.owner.job.queue.service:
+        return False
+    label = stage.step.required_label
+    return not label or label in report.labels
+
+
 def assign(
     stage: Stage,
     rooms: Sequence[WorkerRoom],
@@ -155,23 +165,13 @@
 
 
 def _may_take(stage: Stage, room: WorkerRoom, now_s: float) -> bool:
-    report = room.report
-    if report.service != stage.owner.job.queue.service:
-        return False
-    label = stage.step.required_label
-    if label and label not in report.labels:
+    if not can_ever_take(stage, room):
         return False
-    if _is_reserved(stage, room, now_s):
+    if room.is_reserved_for_other(stage, now_s):
         return False
     return not room.has_mixed_sharing(stage.step)
 
 
-def _is_reserved(stage: Stage, room: WorkerRoom, now_s: float) -> bool:
-    if room.reserved_by is None or room.reserved_by is stage:
-        return False
-    return now_s < room.reserved_until_s
-
-
 def _one_rack_first(
     stage: Stage,
     rooms: Sequence[WorkerRoom],
--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -8,6 +8,7 @@
 import attrs
 
 from currantreach_jobs._model import Job, JobState, Step, TaskKey
+from currantreach_jobs._obstacles import Obstacle
 from currantreach_jobs._records import Place, ProgressRecord, StageRecord
 from currantreach_types import Resources
 
@@ -19,6 +20,8 @@
 # A job that is later than this multiple of its objective is worth nothing to
 # its caller any more; it runs when nothing else wants the room.
 _WORTHLESS_FACTOR = 3
+# Calls for advice and the records of starts take less on a calm day.
+_FIRST_REPORT_S = 1
 
 
 class RunPhase(enum.Enum):
@@ -84,6 +87,12 @@
     :ivar tickets: code and end of validity by worker.
     :ivar next_look_s: when the stage looks for workers without tickets again.
     :ivar asked_until_s: when the outstanding call for advice is given up.
+    :ivar wait_began_s: when its turn came, a worker confirmed its last start
+        or its last run was over, whichever is latest; 0 before its turn.
+    :ivar report_after_s: wait after which the reason is written to the log.
+    :ivar obstacle: what kept it from being started in the last round.
+    :ivar room_obstacle: what kept it from having room when that was last
+        written to the log.
     """
 
     owner: JobProgress
@@ -106,6 +115,10 @@
     asked_until_s: float = 0
     retry_at_s: float = 0
     next_look_s: float = 0
+    wait_began_s: float = 0
+    report_after_s: float = _FIRST_REPORT_S
+    obstacle: Obstacle = Obstacle.NO_ROOM
+    room_obstacle: Obstacle = Obstacle.NO_ROOM
 
     @property
     def is_done(self) -> bool:
@@ -118,6 +131,16 @@
         has_all = len(self.waiting) == self.step.task_count
         return not has_all or any(task.failure_count for task in self.tasks)
 
+    def note_turn(self, now_s: float) -> None:
+        """Note that the stage may be started, if that is news."""
+        if not self.wait_began_s:
+            self.begin_wait(now_s)
+
+    def begin_wait(self, now_s: float) -> None:
+        """Note that what remains of the stage waits from now on."""
+        self.wait_began_s = now_s
+        self.report_after_s = _FIRST_REPORT_S
+
     def key_of(self, index: int) -> TaskKey:
         """Return the identity of a task."""
         return TaskKey(
@@ -131,6 +154,13 @@
         """Return a number above those of all runs of the stage."""
         return 1 + max(task.attempt_count for task in self.tasks)
 
+    def is_whole(self) -> bool:
+        """Tell whether all tasks have a run that its worker confirmed."""
+        return all(
+            task.run is not None and task.run.phase is RunPhase.RUNNING
+            for task in self.tasks
+        )
+
     def held_on(self, worker_id: str) -> list[int]:
         """Return the tasks that are held for a worker."""
         return [
@@ -256,8 +286,15 @@
 
     def ready_stages(self, unix_ms: int) -> Iterator[Stage]:
         """Yield the stages with waiting tasks whose turn has come."""
+        for stage in self.pending_stages(unix_ms):
+            if stage.waiting:
+                yield stage
+
+    def pending_stages(self, unix_ms: int) -> Iterator[Stage]:
+        """Yield the stages with waiting or held tasks, in their turn."""
         for stage in self.stages.values():
-            if stage.waiting and self.is_due(stage.occurrence, unix_ms):
+            is_pending = stage.waiting or stage.held
+            if is_pending and self.is_due(stage.occurrence, unix_ms):
                 if self.is_unlocked(stage):
                     yield stage
 
--- a/packages/currantreach-jobs/src/currantreach_jobs/_rooms.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_rooms.py
@@ -104,6 +104,12 @@
             return False
         return not self.report.is_draining and now_s >= self.failing_until_s
 
+    def is_reserved_for_other(self, stage: Stage, now_s: float) -> bool:
+        """Tell whether freed room is kept for another stage."""
+        if self.reserved_by is None or self.reserved_by is stage:
+            return False
+        return now_s < self.reserved_until_s
+
     def has_mixed_sharing(self, step: Step) -> bool:
         """Tell whether a step would fill beside tasks that serve."""
         if step.is_filling:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -107,6 +107,11 @@
             deadline_ms=self._confirmed_deadline_ms,
         )
 
+    @property
+    def is_silent(self) -> bool:
+        """Tell whether the last call to the worker had no answer."""
+        return self._is_silent
+
     async def run(self) -> None:
         """Hold the worker until this daemon's tenure is over."""
         settings = self._settings
@@ -418,7 +423,7 @@
             attempt=run.attempt,
             worker=self.worker_id,
         )
-        self._board.stop(run)
+        self._board.stop(run, 'start_unsure')
 
     def _order(self, run: Run, ticket: str, now_s: float) -> StartOrder:
         task = run.stage.tasks[run.task.index]
@@ -443,7 +448,7 @@
         elif answer is StartAnswer.FENCED:
             self._tenure.is_over = True
         elif is_unsure:
-            self._board.stop(run)
+            self._board.stop(run, 'start_unsure')
         else:
             self._board.refuse(run, answer)
 
--- a/packages/currantreach-jobs/tests/conftest.py
+++ b/packages/currantreach-jobs/tests/conftest.py
@@ -33,14 +33,17 @@
 )
 from currantreach_jobs._advisor import AdviceDesk
 from currantreach_jobs._answers import Answers
+from currantreach_jobs._board import Board
 from currantreach_jobs._cell import Cell
+from currantreach_jobs._decider import Decider
 from currantreach_jobs._intake import Intake, reply_of
 from currantreach_jobs._key_writer import KeyWriter
 from currantreach_jobs._master import Master
 from currantreach_jobs._records import decode_job
 from currantreach_links import NotSentError
 from currantreach_platform import KeyValue, TransactionalStore, WatchResult
-from currantreach_types import Resources, unix_now_ms
+from currantreach_telemetry import Metrics
+from currantreach_types import ManualClock, Resources, unix_now_ms
 from currantreach_types.errors import (
     ConflictError,
     LostAnswerError,
@@ -721,6 +724,46 @@
             host.kill()
 
 
+class Table:
+    """Board and decider without any network."""
+
+    def __init__(self, fleet_config=None):
+        self.clock = ManualClock(100)
+        self.launched = []
+        self.metrics = Metrics()
+        self.board = Board(
+            self.clock,
+            lambda _: None,
+            lambda: None,
+            self.metrics,
+        )
+        self.decider = Decider(
+            self.board,
+            None,
+            self.clock,
+            lambda run, ticket: self.launched.append(run),
+            lambda: fleet_config,
+            self.metrics,
+        )
+
+    def add_workers(self, reports):
+        """Add usable workers."""
+        for report in reports:
+            self.board.add_worker(report).is_usable = True
+
+    def started(self):
+        """Decide once and return the ids of the jobs that start."""
+        self.launched.clear()
+        self.decider.decide()
+        return [run.task.job_id for run in self.launched]
+
+    def end(self, *runs):
+        """End jobs of one task."""
+        for run in runs:
+            self.board.jobs[run.task.job_id].stages.clear()
+            self.board.lose_run(run)
+
+
 def make_job(job_id, count=1, queue=QUEUE, team='orchard', **step):
     """Return a job with one step."""
     needed = step.pop('needed', Resources(cpu_milli=1000, memory_mib=1000))
@@ -804,3 +847,11 @@
 def advised_queue():
     """Return a queue with a placement service."""
     return ADVISED
+
+
+@pytest.fixture
+def table(reports):
+    """Return a board with two workers of 16 cores."""
+    made = Table()
+    made.add_workers(reports)
+    return made
--- a/packages/currantreach-jobs/tests/test_advice.py
+++ b/packages/currantreach-jobs/tests/test_advice.py
@@ -15,6 +15,7 @@
 from currantreach_jobs._placement import rooms_to_ask
 from currantreach_jobs._progress import JobProgress
 from currantreach_jobs._rooms import WorkerRoom
+from currantreach_telemetry import Metrics
 from currantreach_types import ManualClock, Resources
 
 WORKERS = 120
@@ -114,7 +115,9 @@
 @pytest.fixture
 def advisor():
     """Return an advisor of a cell of five daemons."""
-    return Advisor(StubCell(), None, None, ManualClock(NOW_S), lambda: None)
+    return Advisor(
+        StubCell(), None, None, ManualClock(NOW_S), lambda: None, Metrics()
+    )
 
 
 def test_short_call_takes_the_shortest_way(advisor):
--- a/packages/currantreach-jobs/tests/test_overload.py
+++ b/packages/currantreach-jobs/tests/test_overload.py
@@ -10,65 +10,14 @@
 import pytest
 
 from currantreach_jobs import Queue
-from currantreach_jobs._board import Board
-from currantreach_jobs._decider import Decider
 from currantreach_jobs._load import Load, measure, wait_before_retry_s
 from currantreach_jobs._pace import TeamPace
-from currantreach_telemetry import Metrics
-from currantreach_types import ManualClock, Resources
+from currantreach_types import Resources
 
-METRICS = Metrics()
 WHOLE = Resources(cpu_milli=16000, memory_mib=1000)
 SMALL = Resources(cpu_milli=4000, memory_mib=1000)
 
 
-class Table:
-    """Board and decider without any network."""
-
-    def __init__(self, fleet_config=None):
-        self.clock = ManualClock(100)
-        self.launched = []
-        self.board = Board(
-            self.clock,
-            lambda _: None,
-            lambda: None,
-            METRICS,
-        )
-        self.decider = Decider(
-            self.board,
-            None,
-            self.clock,
-            lambda run, ticket: self.launched.append(run),
-            lambda: fleet_config,
-            METRICS,
-        )
-
-    def add_workers(self, reports):
-        """Add usable workers."""
-        for report in reports:
-            self.board.add_worker(report).is_usable = True
-
-    def started(self):
-        """Decide once and return the ids of the jobs that start."""
-        self.launched.clear()
-        self.decider.decide()
-        return [run.task.job_id for run in self.launched]
-
-    def end(self, *runs):
-        """End jobs of one task."""
-        for run in runs:
-            self.board.jobs[run.task.job_id].stages.clear()
-            self.board.lose_run(run)
-
-
-@pytest.fixture
-def table(reports):
-    """Return a board with two workers of 16 cores."""
-    made = Table()
-    made.add_workers(reports)
-    return made
-
-
 def test_team_beyond_its_share_waits(table, job):
     """A flood of one team must not delay the jobs of the others."""
     for number in range(9):
--- /dev/null
+++ b/packages/currantreach-jobs/tests/test_waiting.py
@@ -0,0 +1,286 @@
+"""Log lines and gauges that tell why a stage is not started.
+
+An accepted job stood still for twenty seconds after a takeover, and no line
+told what it waited for.
+"""
+
+from __future__ import annotations
+
+import attrs
+import logbook
+import pytest
+
+from currantreach_jobs import Advice, EndedRun, EndKind, SiteConfig, Team
+from currantreach_jobs._obstacles import Obstacle
+from currantreach_jobs._records import Place, ProgressRecord, StageRecord
+from currantreach_jobs._waiting import WaitMonitor, state_of_worker
+from currantreach_types import Resources
+
+WHOLE = Resources(cpu_milli=16000, memory_mib=1000)
+HALF = Resources(cpu_milli=8000, memory_mib=1000)
+LEASE_S = 7
+
+
+@pytest.fixture
+def monitor(table):
+    """Return a monitor whose workers' leases end 7 s after the start."""
+    over_s = table.clock.now_s() + LEASE_S
+    return WaitMonitor(table.board, table.clock, lambda _: over_s)
+
+
+@pytest.fixture
+def log():
+    """Return the log lines that are written."""
+    with logbook.TestHandler().applicationbound() as handler:
+        yield handler
+
+
+@pytest.fixture
+def reasons(table, monitor, log):
+    """Return a function that waits and returns the lines by their jobs."""
+
+    def wait(wait_s, gate=None):
+        log.records.clear()
+        for _ in range(round(wait_s / 0.1)):
+            if gate is None:
+                table.decider.decide()
+            monitor.note_round(gate)
+            table.clock.advance(0.1)
+        lines = [record.message for record in log.records]
+        return [
+            dict(pair.split('=', 1) for pair in line.split())
+            for line in lines
+            if 'event=stage_waiting' in line
+        ]
+
+    return wait
+
+
+def test_stage_without_room_is_reported(table, job, reasons):
+    """A job that waits for room says how many workers are open at all."""
+    table.board.rooms['w2'].is_usable = False
+    table.board.add_job(job('busy', needed=WHOLE))
+    assert not reasons(1)
+    table.board.add_job(job('waits', needed=WHOLE))
+    found = reasons(1.6)
+    assert [line['job'] for line in found] == ['waits']
+    assert found[0]['reason'] == 'no_room'
+    assert found[0]['waiting'] == '1'
+    assert (found[0]['open'], found[0]['workers']) == ('1', '2')
+    assert float(found[0]['since_s']) >= 1
+
+
+def test_pauses_between_lines_grow(table, job, reasons):
+    """A job that waits for long must not fill the log."""
+    table.add_workers([])
+    table.board.rooms.clear()
+    table.board.add_job(job('waits'))
+    assert 4 <= len(reasons(30)) <= 6
+
+
+def test_lines_are_bounded_and_the_oldest_come_first(table, job, reasons):
+    """A thousand waiting jobs write some twenty lines a second."""
+    table.board.rooms.clear()
+    for number in range(1000):
+        table.board.add_job(job(f'j{number}'))
+        if not number:
+            reasons(0.5)
+    found = reasons(2.5)
+    assert 10 <= len(found) <= 50
+    assert found[0]['job'] == 'j0'
+
+
+def test_held_task_names_its_worker(table, job, reasons):
+    """A task of an earlier leader waits for the lists of its worker."""
+    table.board.rooms['w1'].is_usable = False
+    record = ProgressRecord(
+        stages={'0.0': StageRecord(placed={0: Place('w1', 3)})},
+    )
+    table.board.add_job(job('held', count=2, is_gang=True), record)
+    found = reasons(1.6)[0]
+    assert found['reason'] == 'held'
+    assert (found['worker'], found['held']) == ('w1', '1')
+    assert 0 < float(found['for_s']) < LEASE_S
+
+
+def test_step_that_waits_for_another_is_not_reported(table, job, reasons):
+    """Only stages whose turn has come count as waiting."""
+    made = job('chain', needed=WHOLE)
+    first = made.steps[0]
+    steps = (first, attrs.evolve(first, after=(0,)))
+    table.board.add_job(attrs.evolve(made, steps=steps))
+    assert not reasons(3)
+
+
+def test_incomplete_gang_names_the_worker(table, job, reasons):
+    """A gang cannot start anew before its last member has ended."""
+    table.board.add_job(job('gang', count=2, needed=WHOLE, is_gang=True))
+    table.started()
+    first, other = table.launched
+    for run in (first, other):
+        table.board.confirm(run)
+    table.board.lose_run(first)
+    found = reasons(1.6)[0]
+    assert found['reason'] == 'gang_incomplete'
+    assert found['worker'] == other.worker_id
+    assert (found['running'], found['stopping']) == ('1', '1')
+
+
+def test_team_limit_is_named(table, job, reasons):
+    """A team that runs as much as it may waits beside free workers."""
+    limit = Resources(cpu_milli=16000)
+    table.decider._read_config = lambda: SiteConfig(
+        version=1,
+        teams={'orchard': Team(name='orchard', limit=limit)},
+    )
+    table.board.add_job(job('first', needed=WHOLE))
+    table.board.add_job(job('second', needed=WHOLE))
+    found = reasons(1.6)[0]
+    assert (found['reason'], found['team']) == ('team_limit', 'orchard')
+
+
+@pytest.mark.parametrize(
+    'gate',
+    [Obstacle.RECORDS_UNWRITTEN, Obstacle.NO_LEASE],
+)
+def test_leader_that_starts_nothing_is_named(table, job, reasons, gate):
+    """Without its lease or with a slow store the leader starts nothing."""
+    table.board.add_job(job('waits'))
+    assert reasons(1.6, gate)[0]['reason'] == gate
+
+
+def test_room_kept_for_a_gang_is_named(table, job, reasons):
+    """A task may wait beside room that is kept for a gang."""
+    table.board.add_job(job('busy', count=3, needed=HALF, estimate_s=99))
+    table.started()
+    table.board.add_job(job('gang', count=2, needed=WHOLE, is_gang=True))
+    gang = table.board.jobs['gang'].stages[0, 0]
+    for room in table.board.rooms.values():
+        room.reserved_by = gang
+        room.reserved_until_s = table.clock.now_s() + 99
+    table.board.add_job(job('small', needed=HALF))
+    found = {line['job']: line['reason'] for line in reasons(1.6)}
+    assert found['small'] == 'reserved'
+
+
+def test_verdicts_that_leave_no_worker_are_named(table, job, reasons):
+    """All workers with room may be forbidden to a step."""
+    queue = attrs.evolve(
+        job('x').queue,
+        advice=Advice(fixed_s=0.5, per_worker_s=0.01, ticket_s=2),
+    )
+    table.board.add_job(attrs.evolve(job('waits'), queue=queue))
+    stage = table.board.jobs['waits'].stages[0, 0]
+    stage.allowed = {'w1': False, 'w2': False}
+    found = reasons(1.6)[0]
+    assert found['reason'] == 'not_allowed'
+    assert int(found['forbidden']) > 0
+
+
+def test_call_under_way_is_named(table, job, reasons, advised_queue):
+    """A call to the placement service may be under way or not be sent."""
+    table.board.add_job(attrs.evolve(job('waits'), queue=advised_queue))
+    stage = table.board.jobs['waits'].stages[0, 0]
+    table.decider._ask = lambda *_: Obstacle.NO_ADVISER_FREE
+    assert reasons(1.6)[0]['reason'] == 'no_adviser_free'
+    stage.asked_until_s = table.clock.now_s() + 9
+    found = reasons(3)[0]
+    assert found['reason'] == 'advice_pending'
+    assert float(found['for_s']) > 0
+
+
+def test_refused_start_counts_as_a_wait(table, job, reasons):
+    """A stage whose starts are refused each time has not had its turn."""
+    table.board.add_job(job('waits'))
+    found = []
+    for _ in range(8):
+        table.started()
+        table.board.refuse(table.launched[0], 'no_room')
+        found.extend(reasons(0.3))
+        table.launched.clear()
+    assert [line['reason'] for line in found] == ['paused']
+
+
+def test_wait_begins_anew_after_a_run(table, job):
+    """A stage whose run was lost waits since then."""
+    table.board.add_job(job('again'))
+    table.started()
+    table.board.confirm(table.launched[0])
+    table.clock.advance(20)
+    table.board.lose_run(table.launched[0])
+    stage = table.board.jobs['again'].stages[0, 0]
+    assert stage.wait_began_s == table.clock.now_s()
+
+
+def test_gauge_counts_stages_by_reason(table, job, monitor):
+    """The gauge tells how many stages wait, and for what."""
+    table.board.rooms['w2'].is_usable = False
+    for name in ('first', 'second', 'third'):
+        table.board.add_job(job(name, needed=WHOLE))
+    table.decider.decide()
+    counts = monitor.counts()
+    assert counts.pop('no_room') == 2
+    assert not any(counts.values())
+
+
+@pytest.mark.parametrize(
+    ('changes', 'state'),
+    [
+        ({}, 'open'),
+        ({'is_listed': False}, 'unlisted'),
+        ({'is_usable': False}, 'unadopted'),
+        ({'orphans': {('task', 1)}}, 'orphans'),
+        ({'failing_until_s': 999}, 'paused'),
+    ],
+)
+def test_state_of_a_worker(table, changes, state):
+    """The gauge of workers tells why nothing is started on them."""
+    room = attrs.evolve(table.board.rooms['w1'], **changes)
+    now_s = table.clock.now_s()
+    assert room.is_open(now_s) == (state == 'open')
+    assert state_of_worker(room, False, True, now_s) == state
+
+
+def test_silent_and_draining_workers(table):
+    """A worker that does not answer is told from one that leaves."""
+    room = table.board.rooms['w1']
+    assert state_of_worker(room, True, False, 0) == 'silent'
+    assert state_of_worker(room, False, False, 0) == 'unadopted'
+    room.report = attrs.evolve(room.report, is_draining=True)
+    assert state_of_worker(room, False, True, 0) == 'draining'
+
+
+def test_run_that_is_cut_short_leaves_a_trace(table, job, log):
+    """A run that lapsed or was broken was started again without a line."""
+    table.board.add_job(job('again'))
+    table.started()
+    run = table.launched[0]
+    ended = EndedRun(
+        number=1,
+        task=run.task,
+        attempt=run.attempt,
+        kind=EndKind.LAPSED,
+    )
+    table.board.end_run(run.worker_id, ended)
+    lines = [record.message for record in log.records]
+    assert any(
+        'event=run_cut_short' in line and 'how=lapsed' in line for line in lines
+    )
+    assert b'reason="run_lapsed"' in table.metrics.render()
+
+
+def test_leader_counts_its_workers(play, wait_until):
+    """The gauges of the leader must work while it decides."""
+
+    async def scenario(fleet, site):
+        fleet.add('w1')
+        fleet.add('w2').silent = True
+        host = site.start('east')
+        await wait_until(lambda: host.master and host.master.is_ready)
+        master = host.master
+        await wait_until(lambda: master.worker_counts()['open'] == 1)
+        await wait_until(lambda: master.worker_counts()['silent'] == 1)
+        assert sum(master.worker_counts().values()) == 2
+        assert not any(master.waits.counts().values())
+
+    play(scenario)
