Accept the jobs of a test of shares at one time

test_team_beyond_its_share_waits failed once in some 65 runs with "assert steady in [f1, f2]". All jobs of the test have the same latest start, and their ages come from the real clock: if a millisecond passed between the making and the adding of the last job, it counted as the oldest, started in the first round and was missed in the second. With 2 ms added to its age the test fails each time with the same message. The jobs now all have age 0; the assertions are unchanged.

--- a/packages/currantreach-jobs/tests/test_overload.py
+++ b/packages/currantreach-jobs/tests/test_overload.py
@@ -20,10 +20,18 @@
 
 def test_team_beyond_its_share_waits(table, job):
     """A flood of one team must not delay the jobs of the others."""
-    for number in range(9):
-        flood = job(f'f{number}', team='flood', needed=WHOLE, estimate_s=1)
-        table.board.add_job(flood, weight=2)
-    table.board.add_job(job('steady', needed=WHOLE, estimate_s=5), weight=2)
+    made = [
+        job(f'f{number}', team='flood', needed=WHOLE, estimate_s=1)
+        for number in range(9)
+    ]
+    made.append(job('steady', needed=WHOLE, estimate_s=5))
+    for each in made:
+        # No job is older than another by the milliseconds the test takes.
+        later_ms = each.accepted_unix_ms + 60_000
+        table.board.add_job(
+            attrs.evolve(each, accepted_unix_ms=later_ms),
+            weight=2,
+        )
     flooding = [
         name
         for name, progress in table.board.jobs.items()
