Keep room for gangs only where their members can run

A gang that waits keeps what becomes free on some workers. The number of members that a worker holds ignored the bound of tasks on one worker, so that a gang which has to spread kept too few workers and smaller tasks took the rest; and it counted the room that lasting tasks take, which never becomes free, so that workers were kept in vain.

Before, the two new tests failed with "{w2} == {w1, w2}" and "not {w1, w2}".

--- a/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
@@ -63,8 +63,17 @@
 
 
 def whole_count(stage: Stage, room: WorkerRoom) -> int:
-    """Return how many tasks of a stage an empty worker holds."""
-    return whole_room_count(stage, room.report.room)
+    """Return how many tasks of a stage a worker holds, once it is free.
+
+    Tasks that last never leave it.
+    """
+    room_there = room.report.room
+    for run in room.running():
+        if run.stage.step.is_lasting:
+            room_there -= run.stage.taken
+    count = whole_room_count(stage, room_there)
+    most = stage.step.max_per_worker
+    return min(count, most) if most else count
 
 
 def can_ever_take(stage: Stage, room: WorkerRoom) -> bool:
--- a/packages/currantreach-jobs/tests/test_overload.py
+++ b/packages/currantreach-jobs/tests/test_overload.py
@@ -208,3 +208,41 @@
     stage.tickets['w2'] = ('ticket', table.clock.now_s() + 1)
     assert table.started() == ['a']
     assert table.launched[0].worker_id == 'w2'
+
+
+@pytest.fixture
+def kept(table, job):
+    """Return a function that tells where a waiting gang keeps room."""
+
+    def wait(**step):
+        # Something fills the first worker more than the second one.
+        table.board.add_job(job('busy', count=7, needed=SMALL, estimate_s=99))
+        table.started()
+        made = job('gang', needed=SMALL, is_gang=True, estimate_s=1, **step)
+        table.board.add_job(made)
+        table.decider._reservable_count = 2
+        stage = table.board.jobs['gang'].stages[0, 0]
+        rooms = list(table.board.rooms.values())
+        table.decider._reserve(stage, rooms, table.clock.now_s())
+        return {
+            name
+            for name, room in table.board.rooms.items()
+            if room.reserved_by is stage
+        }
+
+    return wait
+
+
+def test_gang_keeps_as_many_workers_as_it_spreads_over(kept):
+    """A gang with one member a worker kept one worker and never started."""
+    assert kept(count=2, max_per_worker=1) == {'w1', 'w2'}
+
+
+def test_gang_keeps_no_worker_that_lasting_tasks_fill(table, job, kept):
+    """Room that lasting tasks take was kept, but never became free."""
+    for name in ('serving1', 'serving2', 'serving3'):
+        lasting = job(name, needed=SMALL, is_lasting=True, estimate_s=1)
+        table.board.add_job(lasting)
+    table.started()
+    assert {run.worker_id for run in table.launched} == {'w1'}
+    assert not kept(count=6)
