--- a/packages/currantreach-jobs/src/currantreach_jobs/_advisor.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_advisor.py
@@ -8,7 +8,7 @@
 
 from currantreach_jobs._messages import AdviceReply, AdviceRequest
 from currantreach_jobs._supervision import failure_of
-from currantreach_telemetry import Metrics, log_event
+from currantreach_telemetry import log_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -18,6 +18,7 @@
     from currantreach_jobs._model import Advice
     from currantreach_jobs._ports import AdvicePort
     from currantreach_jobs._progress import Stage
+    from currantreach_telemetry import Metrics
     from currantreach_types import Clock
 
 __all__ = ('AdviceDesk', 'Advisor')
@@ -83,7 +84,7 @@
         desk: AdviceDesk,
         clock: Clock,
         wake: Callable[[], None],
-        metrics: Metrics | None = None,
+        metrics: Metrics,
     ) -> None:
         """Start without outstanding calls.
 
@@ -94,11 +95,11 @@
         self._desk = desk
         self._clock = clock
         self._wake = wake
+        self._metrics = metrics
         self._busy_until_s: dict[str, float] = collections.defaultdict(float)
         self._named: collections.Counter[str] = collections.Counter()
         self._allowed: collections.Counter[str] = collections.Counter()
         self._in_flight: collections.Counter[str] = collections.Counter()
-        self._metrics = metrics or Metrics()
         self._calls: dict[asyncio.Task[None], tuple[AdviceRequest, str]] = {}
         self._is_closed = False
 
--- a/packages/currantreach-jobs/tests/test_overload.py
+++ b/packages/currantreach-jobs/tests/test_overload.py
@@ -10,71 +10,28 @@
 import pytest
 
 from currantreach_jobs import Queue
-from currantreach_jobs._board import Board
-from currantreach_jobs._decider import Decider
 from currantreach_jobs._load import Load, measure, wait_before_retry_s
 from currantreach_jobs._pace import TeamPace
-from currantreach_telemetry import Metrics
-from currantreach_types import ManualClock, Resources
+from currantreach_types import Resources
 
-METRICS = Metrics()
 WHOLE = Resources(cpu_milli=16000, memory_mib=1000)
 SMALL = Resources(cpu_milli=4000, memory_mib=1000)
 
 
-class Table:
-    """Board and decider without any network."""
-
-    def __init__(self, fleet_config=None):
-        self.clock = ManualClock(100)
-        self.launched = []
-        self.board = Board(
-            self.clock,
-            lambda _: None,
-            lambda: None,
-            METRICS,
-        )
-        self.decider = Decider(
-            self.board,
-            None,
-            self.clock,
-            lambda run, ticket: self.launched.append(run),
-            lambda: fleet_config,
-            METRICS,
-        )
-
-    def add_workers(self, reports):
-        """Add usable workers."""
-        for report in reports:
-            self.board.add_worker(report).is_usable = True
-
-    def started(self):
-        """Decide once and return the ids of the jobs that start."""
-        self.launched.clear()
-        self.decider.decide()
-        return [run.task.job_id for run in self.launched]
-
-    def end(self, *runs):
-        """End jobs of one task."""
-        for run in runs:
-            self.board.jobs[run.task.job_id].stages.clear()
-            self.board.lose_run(run)
-
-
-@pytest.fixture
-def table(reports):
-    """Return a board with two workers of 16 cores."""
-    made = Table()
-    made.add_workers(reports)
-    return made
-
-
 def test_team_beyond_its_share_waits(table, job):
     """A flood of one team must not delay the jobs of the others."""
-    for number in range(9):
-        flood = job(f'f{number}', team='flood', needed=WHOLE, estimate_s=1)
-        table.board.add_job(flood, weight=2)
-    table.board.add_job(job('steady', needed=WHOLE, estimate_s=5), weight=2)
+    made = [
+        job(f'f{number}', team='flood', needed=WHOLE, estimate_s=1)
+        for number in range(9)
+    ]
+    made.append(job('steady', needed=WHOLE, estimate_s=5))
+    for each in made:
+        # No job is older than another by the milliseconds the test takes.
+        later_ms = each.accepted_unix_ms + 60_000
+        table.board.add_job(
+            attrs.evolve(each, accepted_unix_ms=later_ms),
+            weight=2,
+        )
     flooding = [
         name
         for name, progress in table.board.jobs.items()
@@ -251,3 +208,41 @@
     stage.tickets['w2'] = ('ticket', table.clock.now_s() + 1)
     assert table.started() == ['a']
     assert table.launched[0].worker_id == 'w2'
+
+
+@pytest.fixture
+def kept(table, job):
+    """Return a function that tells where a waiting gang keeps room."""
+
+    def wait(**step):
+        # Something fills the first worker more than the second one.
+        table.board.add_job(job('busy', count=7, needed=SMALL, estimate_s=99))
+        table.started()
+        made = job('gang', needed=SMALL, is_gang=True, estimate_s=1, **step)
+        table.board.add_job(made)
+        table.decider._reservable_count = 2
+        stage = table.board.jobs['gang'].stages[0, 0]
+        rooms = list(table.board.rooms.values())
+        table.decider._reserve(stage, rooms, table.clock.now_s())
+        return {
+            name
+            for name, room in table.board.rooms.items()
+            if room.reserved_by is stage
+        }
+
+    return wait
+
+
+def test_gang_keeps_as_many_workers_as_it_spreads_over(kept):
+    """A gang with one member a worker kept one worker and never started."""
+    assert kept(count=2, max_per_worker=1) == {'w1', 'w2'}
+
+
+def test_gang_keeps_no_worker_that_lasting_tasks_fill(table, job, kept):
+    """Room that lasting tasks take was kept, but never became free."""
+    for name in ('serving1', 'serving2', 'serving3'):
+        lasting = job(name, needed=SMALL, is_lasting=True, estimate_s=1)
+        table.board.add_job(lasting)
+    table.started()
+    assert {run.worker_id for run in table.launched} == {'w1'}
+    assert not kept(count=6)
