Play planned work on connections that stay in use

Callers saw requests end without an answer around planned work, and the soak could not show it: its client repeats a call on a closed connection by itself.

A stopped daemon is killed after 6 s, as the platform does.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -14,18 +14,23 @@
 _FOLDER = pathlib.Path('build/soak')
 
 
-async def _play(seeds, parallel, seconds):
+async def _play(seeds, chosen):
     playing = asyncio.current_task()
     # A stopped soak ends the processes that it started.
     asyncio.get_running_loop().add_signal_handler(
         signal.SIGTERM,
         playing.cancel,
     )
-    gate = asyncio.Semaphore(parallel)
+    gate = asyncio.Semaphore(chosen.parallel)
 
     async def one(seed):
         async with gate:
-            found = await play_seed(seed, _FOLDER / str(seed), seconds)
+            found = await play_seed(
+                seed,
+                _FOLDER / str(seed),
+                chosen.seconds,
+                is_planned=chosen.planned,
+            )
         sys.stdout.write(f'{found.line()}\n')
         sys.stdout.flush()
         return bool(found.broken)
@@ -42,12 +47,17 @@
     parser.add_argument('--seeds', default='1-5', help='first-last')
     parser.add_argument('--parallel', type=int, default=2)
     parser.add_argument('--seconds', type=float, default=12)
+    parser.add_argument(
+        '--planned',
+        action='store_true',
+        help='play stops, reloads and new configurations only',
+    )
     chosen = parser.parse_args()
     # Relays and kills break calls to the stand-ins on purpose.
     logging.getLogger('aiohttp.server').setLevel(logging.CRITICAL)
     first, _, last = chosen.seeds.partition('-')
     seeds = range(int(first), int(last or first) + 1)
-    failed = asyncio.run(_play(seeds, chosen.parallel, chosen.seconds))
+    failed = asyncio.run(_play(seeds, chosen))
     sys.exit(bool(failed))
 
 
--- a/tests/soak/_daemons.py
+++ b/tests/soak/_daemons.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import signal
 import sys
@@ -29,7 +30,9 @@
 [platform]
 address = "{store}"
 """
-_GRACE_S = 8
+_END_S = 8
+# The platform kills a process that has not ended by then.
+_GRACE_S = 6
 
 
 class Daemon:
@@ -71,10 +74,23 @@
         if self._child is not None and self._child.returncode is None:
             self._child.send_signal(number)
 
+    async def stop(self):
+        """Stop the daemon like the platform does."""
+        child = self._child
+        self.send(signal.SIGTERM)
+        if child is None:
+            return
+        try:
+            async with asyncio.timeout(_GRACE_S):
+                await child.wait()
+        except TimeoutError:
+            with contextlib.suppress(ProcessLookupError):
+                child.kill()
+
     async def end(self):
         """End the daemon for good."""
         self.send(signal.SIGCONT)
         self.send(signal.SIGKILL)
         if self._child is not None:
-            async with asyncio.timeout(_GRACE_S):
+            async with asyncio.timeout(_END_S):
                 await self._child.wait()
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -9,8 +9,11 @@
 class Faults:
     """Injects faults for a while and ends all of them."""
 
-    def __init__(self, site, random):
-        """Prepare to disturb a site."""
+    def __init__(self, site, random, *, is_planned=False):
+        """Prepare to disturb a site.
+
+        :param is_planned: play planned work only.
+        """
         self.site = site
         self.random = random
         self.played = []
@@ -33,6 +36,13 @@
             self._drain_worker,
             self._reload,
         )
+        if is_planned:
+            self._kinds = (
+                self._terminate,
+                self._terminate_some,
+                self._reload,
+                self._configure,
+            )
 
     async def run(self, seconds):
         """Start a fault each second on average, and wait for their ends."""
@@ -64,7 +74,7 @@
         daemon.is_wanted = True
 
     async def _terminate(self):
-        self._daemon().send(signal.SIGTERM)
+        await self._daemon().stop()
 
     async def _pause(self):
         daemon = self._daemon()
@@ -76,9 +86,24 @@
         for daemon in self.site.daemons:
             daemon.send(signal.SIGKILL)
 
+    async def _terminate_some(self):
+        """Stop some daemons within the time of an election."""
+        stopping = []
+        for daemon in self.random.sample(self.site.daemons, 2):
+            stopping.append(asyncio.create_task(daemon.stop()))
+            await asyncio.sleep(self.random.uniform(0, 0.6))
+        await asyncio.gather(*stopping)
+
     async def _reload(self):
         self._daemon().send(signal.SIGHUP)
 
+    async def _configure(self):
+        """Change time-outs, and add or remove a queue and its key."""
+        self.site.configure(
+            has_spare=self.random.random() < 0.5,
+            idle_timeout_s=self.random.choice([1, 5, 15]),
+        )
+
     async def _cut_store(self):
         relay = self.random.choice(self.site.store_relays)
         relay.is_silent = True
--- a/tests/soak/_site.py
+++ b/tests/soak/_site.py
@@ -17,6 +17,7 @@
 from tests.soak._callers import HOST, Callers
 from tests.soak._daemons import Daemon
 from tests.soak._faults import Faults
+from tests.soak._kept import KeptConnections
 from tests.soak._store import StoreStandIn
 from tests.soak._workers import FleetStandIn
 from tests.soak._world import MOST_ATTEMPTS, World
@@ -24,7 +25,10 @@
 _DAEMONS = 3
 _WORKERS = 6
 _RATE = 8
+# Connections to each daemon that are kept busy during planned work.
+_KEPT = 20
 _LIMITS = {'limited': 16000}
+_TEAMS = ('steady', 'limited', 'advised')
 _START_S = 3
 # Ports below those that the kernel hands out, with a range for each seed and
 # process: nobody else may take the port of a daemon that was killed.
@@ -44,13 +48,14 @@
     faults: list
     jobs: int
     starts: int
+    kept: dict
 
     def line(self):
         """Return the verdict in one line."""
         verdict = '; '.join(self.broken[:4]) or 'sound'
         return (
             f'seed={self.seed} jobs={self.jobs} starts={self.starts} '
-            f'faults={len(self.faults)} verdict={verdict}'
+            f'faults={len(self.faults)} kept={self.kept} verdict={verdict}'
         )
 
 
@@ -72,12 +77,13 @@
         self.frontends = []
         self._runners = []
         self._tasks = []
+        self._versions = itertools.count(1)
         number = (os.getpid() * 7 + seed) % _RANGES
         self._ports = itertools.count(_FIRST_PORT + number * _RANGE_SIZE)
 
     async def open(self):
         """Start the stand-ins and the daemons."""
-        self.store.write('op/config', json.dumps(_config()).encode())
+        self.configure()
         store_port = await self._serve(self.store.serve)
         advice_port = await self._serve(self.fleet.advise)
         for number in range(_WORKERS):
@@ -90,6 +96,13 @@
             await self._add_daemon(f'd{index}', store_port, advice_port)
         await asyncio.sleep(_START_S)
 
+    def configure(self, *, has_spare=False, idle_timeout_s=15):
+        """Write the next version of the configuration."""
+        config = _config(_TEAMS + ('spare',) * has_spare)
+        config['version'] = next(self._versions)
+        config['limits'] = {'idleTimeoutMs': idle_timeout_s * 1000}
+        self.store.write('op/config', json.dumps(config).encode())
+
     async def close(self):
         """End all processes and servers that were started."""
         for task in self._tasks:
@@ -136,17 +149,23 @@
         return relay
 
 
-async def play_seed(seed, folder, seconds):
-    """Play one seed and return what it showed."""
+async def play_seed(seed, folder, seconds, *, is_planned=False):
+    """Play one seed and return what it showed.
+
+    :param is_planned: play planned work only, during which no request ends
+        without an answer.
+    """
     site = Site(seed, folder)
     callers = Callers(site.world, site.frontends, site.random)
-    faults = Faults(site, random.Random(seed + 1))
+    kept = KeptConnections(callers, random.Random(seed + 2))
+    faults = Faults(site, random.Random(seed + 1), is_planned=is_planned)
     await callers.open()
     try:
         await site.open()
         await asyncio.gather(
             callers.load(seconds, _RATE),
             faults.run(seconds),
+            kept.load(site.frontends, _KEPT * is_planned, seconds),
         )
         await callers.settle(_SETTLE_S)
         _check_cancelled(site.world)
@@ -160,6 +179,7 @@
         faults=faults.played,
         jobs=len(site.world.jobs),
         starts=site.world.start_count,
+        kept=dict(kept.counts),
     )
 
 
@@ -171,7 +191,7 @@
             world.breach('unasked', f'{run.task} of a cancelled job runs')
 
 
-def _config():
+def _config(teams):
     queue = {
         'host': HOST,
         'service': 'passes',
@@ -180,20 +200,15 @@
         'stretchFactor': 3,
         'targetDurationMs': 5000,
     }
-    queues = [
-        {**queue, 'name': team, 'prefix': f'/{team}/'}
-        for team in ('steady', 'limited', 'advised')
-    ]
+    queues = [{**queue, 'name': team, 'prefix': f'/{team}/'} for team in teams]
     queues[2]['recommendation'] = {
         'decideMs': 20,
         'periodMs': 1,
         'validMs': 2500,
     }
     return {
-        'version': 1,
         'routes': queues,
         'services': [{'name': 'passes'}],
-        'limits': {},
         'tenants': [
             {
                 'name': team,
@@ -201,6 +216,6 @@
                 'weight': 50,
                 'maxCount': {'cpu': _LIMITS.get(team, 0)},
             }
-            for team in ('steady', 'limited', 'advised')
+            for team in teams
         ],
     }
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,6 +10,7 @@
 
 # Seeds that once found a fault are kept here, with a line on the cause.
 SEEDS = (1,)
+PLANNED_SEEDS = (1,)
 SECONDS = 8
 
 
@@ -30,3 +31,12 @@
     found = await play_seed(seed, tmp_path / 'site', SECONDS)
     assert found.starts
     assert not found.broken
+
+
+@pytest.mark.timeout(120)
+@pytest.mark.parametrize('seed', PLANNED_SEEDS)
+async def test_planned_work_cuts_no_request(seed, tmp_path):
+    """A request was cut whose body arrived while its daemon stopped."""
+    found = await play_seed(seed, tmp_path / 'site', SECONDS, is_planned=True)
+    assert found.kept
+    assert not found.broken
