Answer requests whose body arrives while their daemon stops

Callers whose request was under way when a daemon began to close its server, or whose connection was accepted at that moment, had the connection closed without an answer up to a second after the last byte of a whole request.

The shutdown of the HTTP server ignores all bytes from its first step on: the rest of a body whose headers were read before, and everything on a connection that was accepted in the last steps of the event loop. It then waits for these connections and cuts them. A listener that is closed in the step in which it accepts even forgets the connection.

The soak prints how long its own process stood still.

--- a/packages/currantreach-http/src/currantreach_http/_guard.py
+++ b/packages/currantreach-http/src/currantreach_http/_guard.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
+from aiohttp import StreamReader
 
 from currantreach_telemetry import log_event
 
@@ -22,6 +23,8 @@
 
 # A connection outlives its bound by this time at most.
 _SWEEP_S = 0.5
+# A small part of the time that a request takes.
+_DRAIN_STEP_S = 0.02
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -51,10 +54,24 @@
 
 @attrs.define(slots=True)
 class _Connection:
-    """Phase of a connection, and since when it lasts."""
+    """Phase of a connection, and since when it lasts.
+
+    :ivar body: body of the last request.
+    """
 
     phase: _Phase
     since_s: float
+    body: StreamReader | None = None
+
+    def is_busy(self) -> bool:
+        """Tell whether a request is in progress.
+
+        The rest of a body that was refused has to be read as well: closing
+        the connection before would reset it, and the answer might be lost.
+        """
+        if self.phase in {_Phase.RECEIVING, _Phase.SERVING}:
+            return True
+        return self.body is not None and not self.body.is_eof()
 
 
 class ConnectionGuard:
@@ -120,6 +137,25 @@
             self._close(longest, 'too_many')
         return len(closed) == excess
 
+    async def drain(self, timeout_s: float) -> None:
+        """Close all connections, each once its request is answered.
+
+        The server must accept no more connections and is closed afterwards.
+        Its own shutdown drops what arrives for a request in progress and on
+        connections that it has just accepted, and cuts them later.
+
+        :param timeout_s: how long requests in progress may take.
+        """
+        end_s = asyncio.get_running_loop().time() + timeout_s
+        while open_connections := self._connections():
+            for connection, known in tuple(open_connections.items()):
+                if not known.is_busy():
+                    self._close(connection, 'stopping')
+            if asyncio.get_running_loop().time() >= end_s:
+                log_event('requests_cut', count=len(self._connections()))
+                return
+            await asyncio.sleep(_DRAIN_STEP_S)
+
     async def run(self) -> None:
         """Close connections beyond their bounds until cancelled."""
         while True:
@@ -160,6 +196,7 @@
         self._known[request.protocol] = _Connection(
             phase,
             self._clock.now_s(),
+            request.content,
         )
 
     def _close(
--- a/tests/soak/_site.py
+++ b/tests/soak/_site.py
@@ -9,6 +9,7 @@
 import os
 import random
 import shutil
+import time
 
 import attrs
 from aiohttp import web
@@ -25,6 +26,7 @@
 _DAEMONS = 3
 _WORKERS = 6
 _RATE = 8
+_STALL_STEP_S = 0.05
 # Connections to each daemon that are kept busy during planned work.
 _KEPT = 20
 _LIMITS = {'limited': 16000}
@@ -49,13 +51,15 @@
     jobs: int
     starts: int
     kept: dict
+    stall_s: float
 
     def line(self):
         """Return the verdict in one line."""
         verdict = '; '.join(self.broken[:4]) or 'sound'
         return (
             f'seed={self.seed} jobs={self.jobs} starts={self.starts} '
-            f'faults={len(self.faults)} kept={self.kept} verdict={verdict}'
+            f'faults={len(self.faults)} kept={self.kept} '
+            f'stall_s={self.stall_s:.2f} verdict={verdict}'
         )
 
 
@@ -63,7 +67,11 @@
     """Everything that one seed plays with."""
 
     def __init__(self, seed, folder):
-        """Prepare the parts."""
+        """Prepare the parts.
+
+        :ivar stall_s: longest time in which this process stood still; what
+            callers saw during a long one says nothing of the daemons.
+        """
         shutil.rmtree(folder, ignore_errors=True)
         folder.mkdir(parents=True)
         self.folder = folder
@@ -77,6 +85,7 @@
         self.frontends = []
         self._runners = []
         self._tasks = []
+        self.stall_s = 0
         self._versions = itertools.count(1)
         number = (os.getpid() * 7 + seed) % _RANGES
         self._ports = itertools.count(_FIRST_PORT + number * _RANGE_SIZE)
@@ -92,6 +101,7 @@
             worker.address = f'127.0.0.1:{relay.port}'
             self.worker_relays.append(relay)
         self._tasks.append(asyncio.create_task(self.fleet.beat()))
+        self._tasks.append(asyncio.create_task(self._note_stalls()))
         for index in range(_DAEMONS):
             await self._add_daemon(f'd{index}', store_port, advice_port)
         await asyncio.sleep(_START_S)
@@ -115,6 +125,14 @@
         for runner in self._runners:
             await runner.cleanup()
 
+    async def _note_stalls(self):
+        """Note how long the stand-ins and callers stood still at most."""
+        while True:
+            slept_at_s = time.monotonic()
+            await asyncio.sleep(_STALL_STEP_S)
+            late_s = time.monotonic() - slept_at_s - _STALL_STEP_S
+            self.stall_s = max(self.stall_s, late_s)
+
     async def _add_daemon(self, name, store_port, advice_port):
         relay = await self._relay(store_port)
         self.store_relays.append(relay)
@@ -180,6 +198,7 @@
         jobs=len(site.world.jobs),
         starts=site.world.start_count,
         kept=dict(kept.counts),
+        stall_s=site.stall_s,
     )
 
 
