--- a/packages/currantreach-http/tests/test_guard.py
+++ b/packages/currantreach-http/tests/test_guard.py
@@ -169,3 +169,21 @@
     served.clock.advance(2)
     served.guard.sweep()
     assert await is_closed(reader)
+
+
+@pytest.mark.parametrize('steps', range(1, 4))
+async def test_request_that_was_just_read_is_answered(served, steps):
+    """A sweep after a pause closed connections whose requests were waiting.
+
+    :param steps: steps of the event loop between the reading and the sweep.
+    """
+    reader, writer = await served.open(WHOLE)
+    async with asyncio.timeout(2):
+        assert b'200' in await reader.read(1000)
+    served.clock.advance(16)
+    writer.write(WHOLE)
+    for _ in range(steps):
+        await asyncio.sleep(0)
+    served.guard.sweep()
+    async with asyncio.timeout(2):
+        assert b'200' in await reader.read(1000)
