Let requests that were read through before connections are closed

A caller whose request arrived while its connection was beyond a bound, for example after the daemon had stood still or when a new configuration shortened the idle time, had the connection closed without an answer although the request had been read.

It now stops reading from the connections that it is about to close, lets the handlers of what was read begin, and closes those on which none began. The bound of connections and the drain of a stopping daemon close them in the same way.

--- a/packages/currantreach-daemon/src/currantreach_daemon/_http_errors.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_http_errors.py
@@ -76,7 +76,7 @@
         handler: _Call,  # noqa: WPS110
     ) -> web.StreamResponse:
         # Connections that ask nothing give way to those that do.
-        if not self._guard.make_room():
+        if not await self._guard.make_room():
             return self._refused(
                 request,
                 refusals.CONNECTION_LIMIT,
--- a/packages/currantreach-http/src/currantreach_http/_guard.py
+++ b/packages/currantreach-http/src/currantreach_http/_guard.py
@@ -12,7 +12,7 @@
 from currantreach_telemetry import log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from aiohttp import web
     from aiohttp.web_protocol import RequestHandler
@@ -25,6 +25,9 @@
 _SWEEP_S = 0.5
 # A small part of the time that a request takes.
 _DRAIN_STEP_S = 0.02
+# The handler of a request that was read begins two steps of the event loop
+# later; one more for the order of the tasks in a step.
+_HANDLER_STEPS = 3
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -114,7 +117,7 @@
         self._note(request, _Phase.SERVING)
         return body
 
-    def make_room(self) -> bool:
+    async def make_room(self) -> bool:
         """Close what is beyond the bound, the longest idle first.
 
         :returns: whether the connections are within the bound now.
@@ -132,10 +135,8 @@
             for number, (connection, state) in enumerate(known.items())
             if state.phase is not _Phase.SERVING
         ]
-        closed = sorted(waiting)[:excess]
-        for _, _, longest in closed:
-            self._close(longest, 'too_many')
-        return len(closed) == excess
+        longest = [connection for _, _, connection in sorted(waiting)[:excess]]
+        return await self._close(longest, 'too_many') == excess
 
     async def drain(self, timeout_s: float) -> None:
         """Close all connections, each once its request is answered.
@@ -148,9 +149,12 @@
         """
         end_s = asyncio.get_running_loop().time() + timeout_s
         while open_connections := self._connections():
-            for connection, known in tuple(open_connections.items()):
-                if not known.is_busy():
-                    self._close(connection, 'stopping')
+            idle = [
+                connection
+                for connection, known in open_connections.items()
+                if not known.is_busy()
+            ]
+            await self._close(idle, 'stopping')
             if asyncio.get_running_loop().time() >= end_s:
                 log_event('requests_cut', count=len(self._connections()))
                 return
@@ -160,9 +164,9 @@
         """Close connections beyond their bounds until cancelled."""
         while True:
             await asyncio.sleep(_SWEEP_S)
-            self.sweep()
+            await self.sweep()
 
-    def sweep(self) -> None:
+    async def sweep(self) -> None:
         """Close each connection that is beyond one of its bounds."""
         now_s = self._clock.now_s()
         limits = self._read_limits()
@@ -171,11 +175,15 @@
             _Phase.IDLE: limits.idle_s,
             _Phase.RECEIVING: limits.body_s,
         }
-        for connection, known in tuple(self._connections().items()):
-            bound_s = bounds_s.get(known.phase)
-            if bound_s is not None and now_s > known.since_s + bound_s:
-                self._close(connection, known.phase.value)
-        self.make_room()
+        known = self._connections()
+        for phase, bound_s in bounds_s.items():
+            late = [
+                connection
+                for connection, state in known.items()
+                if state.phase is phase and now_s > state.since_s + bound_s
+            ]
+            await self._close(late, phase.value)
+        await self.make_room()
 
     def _connections(
         self,
@@ -199,11 +207,34 @@
             request.content,
         )
 
-    def _close(
+    async def _close(
         self,
-        connection: RequestHandler,
+        chosen: Collection[RequestHandler],
         reason: str,
-    ) -> None:
-        log_event('connection_closed', reason=reason)
-        self._known.pop(connection, None)
-        connection.force_close()
+    ) -> int:
+        """Close connections unless a request was read on them meanwhile.
+
+        Nothing is read from them before they are closed, so that no request
+        is read and dropped.
+
+        :returns: how many of them are closed.
+        """
+        if not chosen:
+            return 0
+        states = {each: self._known.get(each) for each in chosen}
+        # What has arrived by now is read in this step.
+        await asyncio.sleep(0)
+        for paused in chosen:
+            if paused.transport is not None:
+                paused.transport.pause_reading()
+        for _ in range(_HANDLER_STEPS):
+            await asyncio.sleep(0)
+        for connection, state in states.items():
+            if connection.transport is None:
+                continue
+            if self._known.get(connection) is state:
+                log_event('connection_closed', reason=reason)
+                connection.force_close()
+            else:
+                connection.transport.resume_reading()
+        return sum(not closed.connected for closed in chosen)
--- a/packages/currantreach-http/tests/test_guard.py
+++ b/packages/currantreach-http/tests/test_guard.py
@@ -111,9 +111,9 @@
     for _ in range(60):
         opened.append(await served.open())
         served.clock.advance(0.01)
-        served.guard.sweep()
+        await served.guard.sweep()
     assert await served.submit() == 200
-    served.guard.sweep()
+    await served.guard.sweep()
     await asyncio.sleep(0)
     assert served.count() <= LIMITS.most_connections
     assert await is_closed(opened[0][0])
@@ -124,12 +124,12 @@
     """A connection that never asks has a bound of its own."""
     reader, _ = await served.open(b'POST / HTT')
     await asyncio.sleep(0.05)
-    served.guard.sweep()
+    await served.guard.sweep()
     served.clock.advance(2.9)
-    served.guard.sweep()
+    await served.guard.sweep()
     assert not await is_closed(reader)
     served.clock.advance(0.2)
-    served.guard.sweep()
+    await served.guard.sweep()
     assert await is_closed(reader)
 
 
@@ -137,7 +137,7 @@
     """A body of a byte a second must hold no place for long."""
     slow = [await served.open(SLOW_HEAD) for _ in range(30)]
     await asyncio.sleep(0.1)
-    served.guard.sweep()
+    await served.guard.sweep()
     await asyncio.sleep(0)
     assert served.count() <= LIMITS.most_connections
     assert await served.submit() == 200
@@ -152,7 +152,7 @@
     reader, _ = await served.open(WHOLE)
     await asyncio.sleep(0.05)
     served.clock.advance(100)
-    served.guard.sweep()
+    await served.guard.sweep()
     served.may_answer.set()
     async with asyncio.timeout(2):
         assert b'200' in await reader.read(1000)
@@ -164,10 +164,10 @@
     async with asyncio.timeout(2):
         assert b'200' in await reader.read(1000)
     served.clock.advance(14)
-    served.guard.sweep()
+    await served.guard.sweep()
     assert not await is_closed(reader)
     served.clock.advance(2)
-    served.guard.sweep()
+    await served.guard.sweep()
     assert await is_closed(reader)
 
 
@@ -184,6 +184,6 @@
     writer.write(WHOLE)
     for _ in range(steps):
         await asyncio.sleep(0)
-    served.guard.sweep()
+    await served.guard.sweep()
     async with asyncio.timeout(2):
         assert b'200' in await reader.read(1000)
