--- a/packages/currantreach-jobs/tests/test_takeovers.py
+++ b/packages/currantreach-jobs/tests/test_takeovers.py
@@ -307,3 +307,31 @@
         await wait_until(lambda: len(fleet.done) == 2, timeout_s=10)
 
     play(scenario)
+
+
+@pytest.mark.parametrize('delay_s', [0, 0.1, 0.2, 0.3, 0.35, 0.4, 0.45])
+def test_leaving_daemon_takes_no_lead(play, wait_until, delay_s):
+    """A stopping daemon took the lead that another one had given up.
+
+    It led until it ended, and then the lead was vacant until its lease ran
+    out.
+    """
+
+    async def leave(host):
+        host.cell.is_leaving = True
+        if host.master is not None:
+            await host.master.resign()
+
+    async def scenario(fleet, site):
+        first = site.start('a')
+        await wait_until(lambda: first.master and first.master.is_ready)
+        second = site.start('b')
+        await wait_until(lambda: second.cell.leader is not None)
+        await leave(first)
+        await asyncio.sleep(delay_s)
+        await leave(second)
+        await asyncio.sleep(0.5)
+        third = site.start('c')
+        await wait_until(lambda: third.master and third.master.is_ready, 1)
+
+    play(scenario)
