Take no lead while leaving

With stops in series nobody decided for longer than a change of the leader takes: a daemon that had its stop signal within the campaign for the lead that another one had given up took it, led until it ended 2.5 s later without handing over, and its lease had to run out.

The daemon looked at whether it leaves before the pause of its campaign only. It now looks after the pause, and gives up a lead that it won while the signal arrived.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_cell.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_cell.py
@@ -157,11 +157,11 @@
         """Wait until this daemon decides and return its tenure."""
         while True:
             await self._vacancy()
+            spread_s = random.uniform(0, _CAMPAIGN_SPREAD_S)
+            await asyncio.sleep(self._settings.campaign_delay_s + spread_s)
             if self.is_leaving:
                 await asyncio.sleep(_RETRY_S)
                 continue
-            spread_s = random.uniform(0, _CAMPAIGN_SPREAD_S)
-            await asyncio.sleep(self._settings.campaign_delay_s + spread_s)
             tenure = await self._try_campaign()
             if tenure is not None:
                 return tenure
@@ -328,11 +328,16 @@
         if self.leader is not None:
             return None
         try:
-            return await self._campaign()
+            tenure = await self._campaign()
         except PlatformError as error:
             log_event('campaign_failed', error=error)
             await asyncio.sleep(_RETRY_S)
             return None
+        if tenure is not None and self.is_leaving:
+            # The stop arrived during the campaign.
+            await self.resign()
+            return None
+        return tenure
 
     async def _campaign(self) -> Tenure | None:
         sent_at_s = self._clock.now_s()
