--- a/packages/currantreach-http/src/currantreach_http/_guard.py
+++ b/packages/currantreach-http/src/currantreach_http/_guard.py
@@ -7,11 +7,12 @@
 from typing import TYPE_CHECKING
 
 import attrs
+from aiohttp import StreamReader
 
 from currantreach_telemetry import log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from aiohttp import web
     from aiohttp.web_protocol import RequestHandler
@@ -22,6 +23,11 @@
 
 # A connection outlives its bound by this time at most.
 _SWEEP_S = 0.5
+# A small part of the time that a request takes.
+_DRAIN_STEP_S = 0.02
+# The handler of a request that was read begins two steps of the event loop
+# later; one more for the order of the tasks in a step.
+_HANDLER_STEPS = 3
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -51,10 +57,24 @@
 
 @attrs.define(slots=True)
 class _Connection:
-    """Phase of a connection, and since when it lasts."""
+    """Phase of a connection, and since when it lasts.
+
+    :ivar body: body of the last request.
+    """
 
     phase: _Phase
     since_s: float
+    body: StreamReader | None = None
+
+    def is_busy(self) -> bool:
+        """Tell whether a request is in progress.
+
+        The rest of a body that was refused has to be read as well: closing
+        the connection before would reset it, and the answer might be lost.
+        """
+        if self.phase in {_Phase.RECEIVING, _Phase.SERVING}:
+            return True
+        return self.body is not None and not self.body.is_eof()
 
 
 class ConnectionGuard:
@@ -97,7 +117,7 @@
         self._note(request, _Phase.SERVING)
         return body
 
-    def make_room(self) -> bool:
+    async def make_room(self) -> bool:
         """Close what is beyond the bound, the longest idle first.
 
         :returns: whether the connections are within the bound now.
@@ -115,18 +135,38 @@
             for number, (connection, state) in enumerate(known.items())
             if state.phase is not _Phase.SERVING
         ]
-        closed = sorted(waiting)[:excess]
-        for _, _, longest in closed:
-            self._close(longest, 'too_many')
-        return len(closed) == excess
+        longest = [connection for _, _, connection in sorted(waiting)[:excess]]
+        return await self._close(longest, 'too_many') == excess
+
+    async def drain(self, timeout_s: float) -> None:
+        """Close all connections, each once its request is answered.
+
+        The server must accept no more connections and is closed afterwards.
+        Its own shutdown drops what arrives for a request in progress and on
+        connections that it has just accepted, and cuts them later.
+
+        :param timeout_s: how long requests in progress may take.
+        """
+        end_s = asyncio.get_running_loop().time() + timeout_s
+        while open_connections := self._connections():
+            idle = [
+                connection
+                for connection, known in open_connections.items()
+                if not known.is_busy()
+            ]
+            await self._close(idle, 'stopping')
+            if asyncio.get_running_loop().time() >= end_s:
+                log_event('requests_cut', count=len(self._connections()))
+                return
+            await asyncio.sleep(_DRAIN_STEP_S)
 
     async def run(self) -> None:
         """Close connections beyond their bounds until cancelled."""
         while True:
             await asyncio.sleep(_SWEEP_S)
-            self.sweep()
+            await self.sweep()
 
-    def sweep(self) -> None:
+    async def sweep(self) -> None:
         """Close each connection that is beyond one of its bounds."""
         now_s = self._clock.now_s()
         limits = self._read_limits()
@@ -135,11 +175,15 @@
             _Phase.IDLE: limits.idle_s,
             _Phase.RECEIVING: limits.body_s,
         }
-        for connection, known in tuple(self._connections().items()):
-            bound_s = bounds_s.get(known.phase)
-            if bound_s is not None and now_s > known.since_s + bound_s:
-                self._close(connection, known.phase.value)
-        self.make_room()
+        known = self._connections()
+        for phase, bound_s in bounds_s.items():
+            late = [
+                connection
+                for connection, state in known.items()
+                if state.phase is phase and now_s > state.since_s + bound_s
+            ]
+            await self._close(late, phase.value)
+        await self.make_room()
 
     def _connections(
         self,
@@ -160,13 +204,37 @@
         self._known[request.protocol] = _Connection(
             phase,
             self._clock.now_s(),
+            request.content,
         )
 
-    def _close(
+    async def _close(
         self,
-        connection: RequestHandler,
+        chosen: Collection[RequestHandler],
         reason: str,
-    ) -> None:
-        log_event('connection_closed', reason=reason)
-        self._known.pop(connection, None)
-        connection.force_close()
+    ) -> int:
+        """Close connections unless a request was read on them meanwhile.
+
+        Nothing is read from them before they are closed, so that no request
+        is read and dropped.
+
+        :returns: how many of them are closed.
+        """
+        if not chosen:
+            return 0
+        states = {each: self._known.get(each) for each in chosen}
+        # What has arrived by now is read in this step.
+        await asyncio.sleep(0)
+        for paused in chosen:
+            if paused.transport is not None:
+                paused.transport.pause_reading()
+        for _ in range(_HANDLER_STEPS):
+            await asyncio.sleep(0)
+        for connection, state in states.items():
+            if connection.transport is None:
+                continue
+            if self._known.get(connection) is state:
+                log_event('connection_closed', reason=reason)
+                connection.force_close()
+            else:
+                connection.transport.resume_reading()
+        return sum(not closed.connected for closed in chosen)
