Let successors go on with the wait for a lost worker

A task of a lost worker stood still as long as the leader changed every few seconds, on a fleet with room. Each session counted the wait for the leases of its worker from the beginning of its own tenure.

A leader that misses two answers of a worker in a row, or the first one after its election, now notes in cell/released for how much longer anything that was ordered there may run, and orders nothing more there from the sending of that record on. It uses the worker again only after a record without the entry was committed. The record is written at its own expected revision and under the leader record, so that a write that takes effect late changes nothing. All daemons hear the record with the members and count the wait on their own steady clocks from then on; a successor goes on with the same release, also if it never reaches the worker.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_board.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_board.py
@@ -128,8 +128,13 @@
         self.lose_worker(worker_id)
         self.rooms.pop(worker_id, None)
 
-    def lose_worker(self, worker_id: str) -> None:
-        """Note that nothing runs on a worker any more."""
+    def lose_worker(self, worker_id: str, silent_s: float = 0) -> None:
+        """Note that nothing runs on a worker any more.
+
+        :param silent_s: how long its tasks were held back for its leases.
+        """
+        if silent_s:
+            self._metrics.worker_lost(silent_s)
         room = self.rooms.get(worker_id)
         for run in tuple(room.running()) if room else ():
             self.lose_run(run)
--- a/packages/currantreach-jobs/src/currantreach_jobs/_cell.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_cell.py
@@ -13,10 +13,12 @@
     EPOCH_KEY,
     LEADER_KEY,
     MEMBER_PREFIX,
+    RELEASES_KEY,
     SECRET_KEY,
     LeaderRecord,
     MemberRecord,
 )
+from currantreach_jobs._releases import HeardReleases, decode_releases
 from currantreach_jobs._terms import Tenure
 from currantreach_platform import KeyValue, Write
 from currantreach_telemetry import log_event, log_problem
@@ -81,6 +83,7 @@
 
     :ivar members: addresses of the links of all daemons by their ids.
     :ivar leader: record of the daemon that decides, if there is one.
+    :ivar releases: waits for silent workers, as heard from the store.
     """
 
     def __init__(
@@ -102,6 +105,7 @@
         self.address = address
         self.members: dict[str, str] = {daemon_id: address}
         self.leader: LeaderRecord | None = None
+        self.releases = HeardReleases()
         self.has_store_at_s: float = 0
         self.is_leaving = False
         self.read_peer: Callable[[str], Awaitable[CellReply | None]] | None
@@ -263,6 +267,10 @@
                 self.leader = decode_packed(found.stored, LeaderRecord)
             except MalformedMessageError as error:
                 log_problem('leader_unreadable', error=error)
+        elif found.key == RELEASES_KEY:
+            record = decode_releases(found)
+            if record is not None:
+                self.releases.note(record, self._clock.now_s())
         elif found.key.startswith(MEMBER_PREFIX):
             name = found.key.removeprefix(MEMBER_PREFIX)
             try:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_master.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_master.py
@@ -20,6 +20,7 @@
     job_key,
     progress_key,
 )
+from currantreach_jobs._releases import Releases
 from currantreach_jobs._supervision import failure_of
 from currantreach_jobs._worker_session import WorkerSession
 from currantreach_platform import Write
@@ -128,17 +129,21 @@
         self._unlisted_since_s: dict[str, float] = {}
         self._load = Load()
         self._load_at_s: float = 0
+        self._releases = Releases(outside.store, tenure, clock, cell.releases)
         self._fleet_revision = 0
         self._fleet_written: frozenset[str] = frozenset()
 
     async def run(self) -> None:
         """Decide until the tenure is over."""
         keeping = asyncio.create_task(self._cell.keep(self.tenure))
+        # Workers that do not answer are released while the jobs are read.
+        releasing = asyncio.create_task(self._releases.keep())
+        releasing.add_done_callback(self._end_on_failure)
         try:
             await self._recover_and_decide()
         finally:
             self.tenure.is_over = True
-            await self._close(keeping)
+            await self._close([keeping, releasing])
         log_event('tenure_over', epoch=self.tenure.epoch)
 
     def load(self) -> Load:
@@ -269,6 +274,7 @@
         self.board.count_retry('job_unreadable')
 
     async def _recover_fleet(self) -> None:
+        await self._releases.read()
         found = await self._store.get(FLEET_KEY)
         if found is None:
             return
@@ -284,6 +290,9 @@
                 settings.hold_grace_s + settings.longest_lease_s,
             )
             return
+        self._releases.keep_only(
+            {report.worker_id for report in fleet.workers},
+        )
         for report in fleet.workers:
             self._open_session(report)
         self._fleet_written = frozenset(self._sessions)
@@ -349,6 +358,7 @@
         task = self._session_tasks.pop(worker_id)
         task.cancel()
         session = self._sessions.pop(worker_id)
+        self._releases.end(worker_id)
         self._unlisted_since_s.pop(worker_id, None)
         self.board.remove_worker(worker_id)
         closing = asyncio.create_task(session.close())
@@ -399,6 +409,7 @@
             self._settings,
             self._clock,
             self._committer.written,
+            self._releases,
         )
         self._sessions[report.worker_id] = session
         self._session_tasks[report.worker_id] = asyncio.create_task(
@@ -467,8 +478,13 @@
         self.board.jobs.pop(job_id, None)
         self._committer.forget(job_id)
 
-    async def _close(self, keeping: asyncio.Task[None]) -> None:
-        await _end([keeping, *self._session_tasks.values()])
+    def _end_on_failure(self, part: asyncio.Task[None]) -> None:
+        if not part.cancelled() and part.exception() is not None:
+            log_problem('part_failed', error=repr(part.exception()))
+            self.tenure.is_over = True
+
+    async def _close(self, parts: list[asyncio.Task[None]]) -> None:
+        await _end([*parts, *self._session_tasks.values()])
         await asyncio.gather(
             *(session.close() for session in self._sessions.values()),
             return_exceptions=True,
--- a/packages/currantreach-jobs/src/currantreach_jobs/_records.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_records.py
@@ -20,12 +20,15 @@
     'LEADER_KEY',
     'MEMBER_PREFIX',
     'PROGRESS_PREFIX',
+    'RELEASES_KEY',
     'SECRET_KEY',
     'FleetRecord',
     'LeaderRecord',
     'MemberRecord',
     'Place',
     'ProgressRecord',
+    'Release',
+    'ReleaseRecord',
     'StageRecord',
     'cancel_key',
     'decode_job',
@@ -40,6 +43,8 @@
 LEADER_KEY: Final = 'cell/leader'
 MEMBER_PREFIX: Final = 'cell/members/'
 EPOCH_KEY: Final = 'keep/epoch'
+# Below the prefix that all daemons watch, so that each of them counts the wait.
+RELEASES_KEY: Final = 'cell/released'
 FLEET_KEY: Final = 'keep/fleet'
 SECRET_KEY: Final = 'keep/secret'
 JOB_PREFIX: Final = 'jobs/'
@@ -87,6 +92,30 @@
     workers: tuple[WorkerReport, ...] = ()
 
 
+@attrs.frozen(slots=True, kw_only=True)
+class Release:
+    """Promise of a leader to order nothing on a worker that is silent.
+
+    It holds until a record without it is in the store.
+
+    :ivar release_id: identity, which successors keep as long as it holds.
+    :ivar remaining_ms: how long runs that were ordered before may go on at
+        most, counted from the sending of the record.
+    :ivar silent_ms: how long the worker had been silent by then.
+    """
+
+    release_id: str
+    remaining_ms: int
+    silent_ms: int = 0
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class ReleaseRecord:
+    """Workers on which nothing is ordered, by their ids."""
+
+    workers: dict[str, Release] = attrs.field(factory=dict)
+
+
 @attrs.frozen(slots=True)
 class Place:
     """Worker and number of a run.
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -19,6 +19,7 @@
     from currantreach_jobs._model import HoldReply, TaskKey
     from currantreach_jobs._ports import WorkerPort
     from currantreach_jobs._progress import Run
+    from currantreach_jobs._releases import Releases
     from currantreach_jobs._rooms import WorkerRoom
     from currantreach_jobs._terms import JobSettings, Tenure
     from currantreach_types import Clock
@@ -36,6 +37,8 @@
 _PLACED_TIMEOUT_S = 2
 # With a deadline of 0.6 s each, the tries fit into the wait of a gang.
 _START_TRIES = 3
+# One lost answer is no reason to let the next extension wait for the store.
+_RELEASE_FAILURES = 2
 # A worker lists this many ends at a time; a full list may be incomplete.
 _FULL_LIST = 500
 _CLOSED_LOG = 'worker_closed'
@@ -56,11 +59,13 @@
         settings: JobSettings,
         clock: Clock,
         written: Callable[[Sequence[str]], Awaitable[None]],
+        releases: Releases,
     ) -> None:
         """Prepare a session; :meth:`run` adopts and holds the worker.
 
         :param written: waits until all that was noted of some jobs is in
             the store.
+        :param releases: whether this leader may order anything.
         """
         self.worker_id = worker_id
         self.is_adopted = False
@@ -71,6 +76,7 @@
         self._settings = settings
         self._clock = clock
         self._written = written
+        self._releases = releases
         self._unwritten_jobs: set[str] = set()
         self._is_silent = False
         self._born_unix_ms = 0
@@ -82,6 +88,12 @@
         self.lease_over_s = (
             tenure.began_at_s + settings.hold_grace_s + settings.longest_lease_s
         )
+        self._failure_count = 0
+        self._silent_since_s: float | None = None
+        wait = releases.wait_for(worker_id)
+        if wait is not None:
+            self.lease_over_s = min(self.lease_over_s, wait.over_s)
+            self._silent_since_s = wait.since_s
         self._orders = BackgroundOrders(worker_id, board.count_retry)
 
     async def run(self) -> None:
@@ -101,6 +113,7 @@
                 return
             self._absorb(reply, sent_at_s)
             await self._acknowledge()
+            await self._releases.ended(self.worker_id, _RETRY_S)
         log_event(_CLOSED_LOG, worker=self.worker_id)
 
     def resume_after(self, failure: BaseException | None) -> None:
@@ -138,15 +151,16 @@
 
     async def _hold(self, now_s: float) -> HoldReply:
         has_unacked = self._noted_through > self._acked_through
+        may_order = self._releases.may_order(self.worker_id)
         is_calm = self.is_adopted and not self._is_silent and not has_unacked
         deadline_ms = 0
-        if self._born_unix_ms and not self._is_silent:
+        if self._born_unix_ms and may_order and not self._is_silent:
             deadline_ms = self._new_deadline_ms(now_s)
         return await self._port.hold(
             self._tenure.epoch,
             self._acked_through,
             deadline_ms,
-            self._settings.hold_wait_s if is_calm else 0,
+            self._settings.hold_wait_s if is_calm and may_order else 0,
         )
 
     def _clock_at(self, now_s: float) -> int:
@@ -164,19 +178,45 @@
         return self._clock_at(now_s) + round(lease_s * _MS_PER_S)
 
     def _note_silence(self, error: PlatformError) -> None:
+        now_s = self._clock.now_s()
         room = self._board.rooms.get(self.worker_id)
         if not self._is_silent:
             log_event('worker_silent', worker=self.worker_id, error=error)
         self._is_silent = True
+        self._failure_count += 1
+        if self._silent_since_s is None:
+            self._silent_since_s = now_s
         if room is not None:
             room.is_usable = False
-        if self._clock.now_s() > self.lease_over_s and not self.is_lost:
-            self.is_lost = True
-            log_event('worker_lost', worker=self.worker_id)
-            self._board.lose_worker(self.worker_id)
+        has_answered = bool(self._born_unix_ms)
+        if not has_answered or self._failure_count >= _RELEASE_FAILURES:
+            self._releases.release(
+                self.worker_id,
+                self._silent_since_s,
+                self.lease_over_s,
+            )
+        if now_s > self.lease_over_s and not self.is_lost:
+            self._note_loss(now_s - self._silent_since_s)
+
+    def _note_loss(self, silent_s: float) -> None:
+        """Give up the worker, as nothing that was ordered runs any more."""
+        self.is_lost = True
+        wait = self._releases.wait_for(self.worker_id)
+        tenure_s = self._clock.now_s() - self._tenure.began_at_s
+        log_event(
+            'worker_lost',
+            worker=self.worker_id,
+            silent_s=round(silent_s, 3),
+            release=wait.release_id if wait else '',
+            tenure_s=round(tenure_s, 3),
+        )
+        self._board.lose_worker(self.worker_id, silent_s)
 
     def _absorb(self, reply: HoldReply, sent_at_s: float) -> None:
         now_s = self._clock.now_s()
+        self._failure_count = 0
+        self._silent_since_s = None
+        self._releases.end(self.worker_id)
         if not self._born_unix_ms:
             # From here on the worker obeys no earlier leader.
             self.lease_over_s = min(
@@ -235,7 +275,7 @@
         room = self._board.rooms.get(self.worker_id)
         if room is None:
             return
-        room.is_usable = True
+        room.is_usable = self._releases.may_order(self.worker_id)
         listed = {(found.task, found.attempt): found for found in reply.running}
         self._stop_unwanted(room, set(listed) - set(room.runs))
         for run in room.running():
@@ -298,8 +338,7 @@
         is_unsure = False
         for _ in range(_START_TRIES):
             now_s = self._clock.now_s()
-            is_wanted = run.phase is RunPhase.STARTING
-            if not (is_wanted and self._tenure.may_start(now_s)):
+            if not self._may_start(run, now_s):
                 break
             try:
                 answer = await self._port.start(self._order(run, ticket, now_s))
@@ -312,6 +351,11 @@
                 return
         self._give_up(run, is_unsure)
 
+    def _may_start(self, run: Run, now_s: float) -> bool:
+        is_wanted = run.phase is RunPhase.STARTING
+        may_order = self._releases.may_order(self.worker_id)
+        return is_wanted and may_order and self._tenure.may_start(now_s)
+
     def _give_up(self, run: Run, is_unsure: bool) -> None:
         """Note that a start got no answer."""
         if not is_unsure:
--- a/packages/currantreach-jobs/tests/conftest.py
+++ b/packages/currantreach-jobs/tests/conftest.py
@@ -314,9 +314,10 @@
 class FakeWorker:
     """Worker that keeps fences, leases and numbers of runs.
 
-    ``silent`` drops every call, ``late_starts`` counts starts that are
-    answered by nothing and carried out by :meth:`carry_out`, and ``faults``
-    are exceptions that the next calls of a kind end with.
+    ``silent`` drops every call, ``unheard`` names the hosts whose calls are
+    dropped, ``late_starts`` counts starts that are answered by nothing and
+    carried out by :meth:`carry_out`, and ``faults`` are exceptions that the
+    next calls of a kind end with.
     """
 
     def __init__(self, fleet, worker_id, rate=1):
@@ -324,6 +325,7 @@
         self.worker_id = worker_id
         self.rate = rate
         self.silent = False
+        self.unheard = set()
         self.mute = False
         self.faults = collections.defaultdict(list)
         self.late_starts = 0
@@ -468,8 +470,9 @@
 class FakePort(WorkerPort):
     """Connection to a fake worker."""
 
-    def __init__(self, worker):
+    def __init__(self, worker, host_name=''):
         self.worker = worker
+        self.host_name = host_name
 
     async def start(self, order):
         await self._enter('start')
@@ -502,7 +505,7 @@
         await asyncio.sleep(0.003)
         if self.worker.faults[kind]:
             raise self.worker.faults[kind].pop(0)
-        if self.worker.silent:
+        if self.worker.silent or self.host_name in self.worker.unheard:
             await asyncio.sleep(0.6)
             raise WorkerUnavailableError('silent')
 
@@ -695,7 +698,10 @@
             directory=fleet,
             source=fleet,
             advice=fleet,
-            make_port=lambda report: FakePort(fleet.workers[report.worker_id]),
+            make_port=lambda report: FakePort(
+                fleet.workers[report.worker_id],
+                name,
+            ),
         )
 
         async def decide():
--- a/packages/currantreach-jobs/tests/test_lost_workers.py
+++ b/packages/currantreach-jobs/tests/test_lost_workers.py
@@ -7,10 +7,25 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import functools
+import random
 
+import attrs
 import pytest
 
+from currantreach_jobs import Outcome
+from currantreach_jobs._records import (
+    LEADER_KEY,
+    RELEASES_KEY,
+    Release,
+    ReleaseRecord,
+)
+from currantreach_jobs._releases import HeardReleases, Releases
+from currantreach_jobs._terms import Tenure
+from currantreach_platform import Write
+from currantreach_types.errors import LostAnswerError, TransactionConflictError
+
 CHANGES = 5
 OFF_S = 0.5
 # The slowest clock that the platform allows.
@@ -38,6 +53,8 @@
         + TAKEOVER_S
         + orders_end_s
         + settings.longest_lease_s
+        # The leader may change once more when the wait is over.
+        + TAKEOVER_S
         + changes * FORGOTTEN_S
     )
 
@@ -140,3 +157,278 @@
         assert waited_s < bound_s(site.settings, ended)
 
     play(scenario)
+
+
+def is_released(site, worker_id):
+    """Tell whether the leader orders nothing on a worker."""
+    releases = leader_of(site).master._releases
+    return not releases.may_order(worker_id)
+
+
+async def begin(fleet, site, job, wait_until):
+    """Let a task run on one worker of two and return the leader."""
+    fleet.add('w1', rate=SLOW)
+    fleet.work_s = 60
+    site.start('a')
+    await wait_until(functools.partial(leader_of, site))
+    site.start('b')
+    await leader_of(site).intake.submit(job('1' * 16))
+    await wait_until(lambda: fleet.starts)
+    await asyncio.sleep(3)
+    fleet.add('w2')
+    return leader_of(site)
+
+
+@pytest.mark.parametrize('lost', [0, 1])
+def test_released_worker_is_not_extended_by_a_leader_without_a_store(
+    play,
+    job,
+    wait_until,
+    lost,
+):
+    """A leader extends a lease that its successor no longer waits for.
+
+    The worker answers the old leader again right when that one is cut off
+    from the store, and never answers the new one.
+    """
+
+    async def scenario(fleet, site):
+        deciding = await begin(fleet, site, job, wait_until)
+        worker = fleet.workers['w1']
+        fleet.store.lost = 0
+        worker.unheard = {'a', 'b'}
+        await wait_until(lambda: is_released(site, 'w1'))
+        fleet.store.lost = lost
+        await wait_until(lambda: RELEASES_KEY in fleet.store.keys)
+        worker.unheard = {'a', 'b'} - {name_of(site, deciding)}
+        deciding.store.is_rejected = True
+        deadline_ms = worker.deadline_ms
+        await wait_until(lambda: len(fleet.starts) == 2)
+        assert worker.deadline_ms == deadline_ms
+
+    play(scenario)
+
+
+def test_worker_that_answers_again_is_extended_after_a_commit(
+    play,
+    job,
+    wait_until,
+):
+    """A worker that was silent for a moment must not lose its runs.
+
+    While the store is down nothing may be extended there, as a successor
+    would not know of it.
+    """
+
+    async def scenario(fleet, site):
+        await begin(fleet, site, job, wait_until)
+        worker = fleet.workers['w1']
+        worker.silent = True
+        await wait_until(lambda: RELEASES_KEY in fleet.store.keys)
+        fleet.store.is_down = True
+        worker.silent = False
+        deadline_ms = worker.deadline_ms
+        await asyncio.sleep(1)
+        assert worker.deadline_ms == deadline_ms
+        fleet.store.is_down = False
+        await wait_until(lambda: worker.deadline_ms > deadline_ms, 2)
+        await wait_until(lambda: not is_released(site, 'w1'), 1)
+        await asyncio.sleep(10)
+        assert len(fleet.starts) == 1
+        assert worker.running
+
+    play(scenario)
+
+
+def test_released_worker_that_a_successor_reaches_goes_on(
+    play,
+    job,
+    wait_until,
+):
+    """A worker that only the old leader could not reach keeps its runs."""
+
+    async def scenario(fleet, site):
+        deciding = await begin(fleet, site, job, wait_until)
+        worker = fleet.workers['w1']
+        worker.unheard = {name_of(site, deciding)}
+        await wait_until(lambda: RELEASES_KEY in fleet.store.keys)
+        await asyncio.sleep(1)
+        await deciding.master.resign()
+        deciding.kill()
+        await wait_until(lambda: leader_of(site))
+        await asyncio.sleep(10)
+        assert len(fleet.starts) == 1
+        assert worker.running
+
+    play(scenario)
+
+
+def test_calm_cell_writes_no_releases(play, job, wait_until):
+    """Each write of the leader counts against the bound of the store."""
+
+    async def scenario(fleet, site):
+        await begin(fleet, site, job, wait_until)
+        await asyncio.sleep(20)
+        assert RELEASES_KEY not in fleet.store.keys
+        fleet.workers['w1'].silent = True
+        await wait_until(lambda: len(fleet.starts) == 2)
+        await asyncio.sleep(2)
+        written = fleet.store.keys[RELEASES_KEY].revision
+        await asyncio.sleep(20)
+        assert fleet.store.keys[RELEASES_KEY].revision == written
+
+    play(scenario)
+
+
+def hide(fleet, worker, rng):
+    """Cut a worker off from some hosts."""
+    worker.unheard = set(rng.sample(['a', 'b', 'c'], rng.randint(1, 3)))
+
+
+def show(fleet, worker, rng):
+    """Connect a worker with all hosts."""
+    worker.unheard = set()
+
+
+def delay_starts(fleet, worker, rng):
+    """Keep the next starts of a worker back."""
+    worker.late_starts = rng.randint(1, 3)
+
+
+def carry_out(fleet, worker, rng):
+    """Carry out the starts that were kept back."""
+    worker.carry_out()
+
+
+def lose_answers(fleet, worker, rng):
+    """Drop the next answers of the store."""
+    fleet.store.lost = rng.randint(1, 2)
+
+
+EVENTS = (hide, hide, hide, show, show, delay_starts, carry_out, lose_answers)
+
+
+async def disturb(fleet, site, rng):
+    """Let workers fall silent and come back, and the leader change."""
+    while True:
+        await asyncio.sleep(rng.uniform(0.2, 3))
+        worker = rng.choice(list(fleet.workers.values()))
+        rng.choice(EVENTS)(fleet, worker, rng)
+        if rng.random() < 0.15 and leader_of(site) is not None:
+            change = rng.choice([kill, cut_off, resign, cut_power])
+            await change(site, leader_of(site))
+
+
+async def submit(site, wanted):
+    """Submit a job at one daemon after the other until it is accepted."""
+    outcome = None
+    while outcome is not Outcome.ACCEPTED:
+        await asyncio.sleep(0.1)
+        alive = [host for host in site.hosts.values() if not host.is_killed]
+        with contextlib.suppress(TimeoutError, IndexError):
+            async with asyncio.timeout(2):
+                verdict = await random.choice(alive).intake.submit(wanted)
+                outcome = verdict.outcome
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_no_task_runs_twice_beside_silent_workers(play, job, wait_until, seed):
+    """Workers that come back at any moment run no task a second time.
+
+    Links of single hosts fail, starts are carried out late, answers of the
+    store are lost, and the leader changes.
+    """
+
+    async def scenario(fleet, site):
+        rng = random.Random(seed)
+        for number in range(4):
+            fleet.add(f'w{number}', rate=rng.choice([SLOW, 1]))
+        fleet.work_s = rng.choice([1, 5, 12])
+        for name in ('a', 'b', 'c'):
+            site.start(name)
+        await wait_until(functools.partial(leader_of, site))
+        changing = asyncio.ensure_future(disturb(fleet, site, rng))
+        for number in range(12):
+            await submit(site, job(f'{number:016x}', count=3))
+            await asyncio.sleep(rng.uniform(1, 5))
+        changing.cancel()
+        for worker in fleet.workers.values():
+            worker.unheard = set()
+            worker.late_starts = 0
+            worker.carry_out()
+        for host in site.hosts.values():
+            host.store.is_rejected = False
+        await wait_until(lambda: len(fleet.done) == 36, 200)
+
+    play(scenario)
+
+
+class LateStore:
+    """View of a store that carries one commit out after later ones."""
+
+    def __init__(self, store):
+        self.store = store
+        self.late = None
+        self.delays_next = False
+
+    async def get(self, key):
+        return await self.store.get(key)
+
+    async def commit(self, expected, writes, removed=()):
+        if self.delays_next:
+            self.delays_next = False
+            self.late = expected, writes, removed
+            raise LostAnswerError('no answer')
+        return await self.store.commit(expected, writes, removed)
+
+
+def test_late_write_releases_no_worker_that_is_used(play, wait_until):
+    """A release that takes effect late hides orders from a successor."""
+
+    async def scenario(fleet, site):
+        store = LateStore(fleet.store)
+        leader = Write(key=LEADER_KEY, stored=b'leader')
+        revision = await fleet.store.commit({}, [leader])
+        now_s = fleet.clock.now_s()
+        tenure = Tenure(
+            epoch=1,
+            revision=revision,
+            valid_until_s=now_s + 60,
+            began_at_s=now_s,
+        )
+        releases = Releases(store, tenure, fleet.clock, HeardReleases())
+        await releases.read()
+        keeping = asyncio.ensure_future(releases.keep())
+        store.delays_next = True
+        releases.release('w1', now_s, now_s + 9)
+        await wait_until(lambda: store.late)
+        releases.end('w1')
+        assert not releases.may_order('w1')
+        await wait_until(lambda: releases.may_order('w1'))
+        with pytest.raises(TransactionConflictError):
+            await fleet.store.commit(*store.late)
+        keeping.cancel()
+
+    play(scenario)
+
+
+def test_successors_count_one_release_on(play):
+    """A record that is read again must not start the wait anew.
+
+    A worker that was used in between is waited for anew.
+    """
+
+    async def scenario(fleet, site):
+        heard = HeardReleases()
+        first = Release(release_id='1-1', remaining_ms=9000)
+        heard.note(ReleaseRecord(workers={'w1': first}), 100)
+        heard.note(ReleaseRecord(workers={'w1': first}), 105)
+        assert heard.waits()['w1'].over_s == 109
+        shorter = attrs.evolve(first, remaining_ms=1000)
+        heard.note(ReleaseRecord(workers={'w1': shorter}), 106)
+        assert heard.waits()['w1'].over_s == 107
+        second = attrs.evolve(first, release_id='2-1')
+        heard.note(ReleaseRecord(workers={'w1': second}), 106)
+        assert heard.waits()['w1'].over_s == 115
+
+    play(scenario)
--- a/packages/currantreach-jobs/tests/test_worker_session.py
+++ b/packages/currantreach-jobs/tests/test_worker_session.py
@@ -16,6 +16,7 @@
     StartAnswer,
 )
 from currantreach_jobs._board import Board
+from currantreach_jobs._releases import HeardReleases, Releases
 from currantreach_jobs._terms import Tenure
 from currantreach_jobs._worker_session import WorkerSession
 from currantreach_telemetry import Metrics
@@ -51,6 +52,13 @@
         """Nothing is open."""
 
 
+class EmptyStore:
+    """Store without a record of released workers."""
+
+    async def get(self, key):
+        """Return nothing."""
+
+
 @attrs.define
 class Bench:
     """A session, its board and its port."""
@@ -83,14 +91,18 @@
     written = asyncio.Event()
     written.set()
     port = ScriptedPort()
+    tenure = Tenure(epoch=1, revision=1, valid_until_s=1000, began_at_s=100)
+    releases = Releases(EmptyStore(), tenure, clock, HeardReleases())
+    await releases.read()
     session = WorkerSession(
         'w1',
         port,
         board,
-        Tenure(epoch=1, revision=1, valid_until_s=1000, began_at_s=100),
+        tenure,
         JobSettings(),
         clock,
         lambda _: written.wait(),
+        releases,
     )
     made = Bench(clock, board, port, session, written)
     await made.hold(HoldReply(clock_ms=1000, born_unix_ms=1))
@@ -200,3 +212,22 @@
     assert stage.tasks[0].run is run
     await bench.hold(whole)
     assert stage.waiting == {0}
+
+
+async def test_nothing_is_ordered_on_a_released_worker(bench, job):
+    """A start that waited for its record outlasts what a successor waits."""
+    bench.board.add_job(job('4' * 16))
+    stage = bench.board.jobs['4' * 16].stages[0, 0]
+    run = bench.board.begin(stage, 0, 'w1', 1)
+    bench.written.clear()
+    bench.session.start(run, '')
+    await asyncio.sleep(0)
+    await bench.hold(LostAnswerError('silent'))
+    await bench.hold(LostAnswerError('silent'))
+    over_s = bench.session.lease_over_s
+    bench.clock.advance(1)
+    bench.written.set()
+    await asyncio.sleep(0.01)
+    assert not bench.port.starts
+    assert stage.waiting == {0}
+    assert bench.session.lease_over_s == over_s
--- a/packages/currantreach-telemetry/src/currantreach_telemetry/_metrics.py
+++ b/packages/currantreach-telemetry/src/currantreach_telemetry/_metrics.py
@@ -22,6 +22,8 @@
 # Callers choose the names of workloads, and each label takes memory.
 _WORKLOAD_LIMIT = 50
 _WAIT_BOUNDS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.3, 5, 30, 300)
+# A worker that is lost is waited for during 7 to 17 s.
+_SILENCE_BOUNDS_S = (2, 5, 7, 8, 10, 12, 15, 20, 30, 60)
 _DECISION_BOUNDS_S = (0.0001, 0.0005, 0.001, 0.002, 0.005, 0.02, 0.1)
 
 
@@ -38,6 +40,10 @@
             views=[
                 _histogram_view('currantreach_wait_seconds', _WAIT_BOUNDS_S),
                 _histogram_view('currantreach_call_seconds', _WAIT_BOUNDS_S),
+                _histogram_view(
+                    'currantreach_silence_seconds',
+                    _SILENCE_BOUNDS_S,
+                ),
                 _histogram_view(
                     'currantreach_decision_seconds',
                     _DECISION_BOUNDS_S,
@@ -51,6 +57,9 @@
         self._ends = self._meter.create_counter('currantreach_request_ends')
         self._waits = self._meter.create_histogram('currantreach_wait_seconds')
         self._calls = self._meter.create_histogram('currantreach_call_seconds')
+        self._silences = self._meter.create_histogram(
+            'currantreach_silence_seconds',
+        )
         self._decisions = self._meter.create_histogram(
             'currantreach_decision_seconds',
         )
@@ -77,6 +86,10 @@
         labels = {'method': method, 'status': str(status)}
         self._calls.record(took_s, labels)
 
+    def worker_lost(self, silent_s: float) -> None:
+        """Record how long the tasks of a silent worker were held back."""
+        self._silences.record(silent_s)
+
     def decided(self, round_s: float) -> None:
         """Record the duration of one round of decisions."""
         self._decisions.record(round_s)
