Wait for an earlier leader whose store lease was dropped early

A successor took the lease of its predecessor for over when it was elected.

The successor waits for the lease of the leader, too.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_terms.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_terms.py
@@ -73,6 +73,15 @@
         )
         return _DELAY_STEP_S * max(0, -math.log2(max(strength, _WEAKEST)))
 
+    @property
+    def last_order_s(self) -> float:
+        """Return how long after an election an earlier leader may order.
+
+        A store that is down may drop the record of a leader right after its
+        renewal.
+        """
+        return self.leader_lease_s + self.hold_grace_s
+
     @property
     def longest_lease_s(self) -> float:
         """Return a bound of the real duration of a lease."""
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -84,9 +84,9 @@
         self._clock_read_s: float = 0
         self._noted_through = 0
         self._acked_through = 0
-        # Another daemon may have extended leases until shortly before.
+        # An earlier leader may still extend leases.
         self.lease_over_s = (
-            tenure.began_at_s + settings.hold_grace_s + settings.longest_lease_s
+            tenure.began_at_s + settings.last_order_s + settings.longest_lease_s
         )
         self._failure_count = 0
         self._silent_since_s: float | None = None
--- a/packages/currantreach-jobs/tests/test_lost_workers.py
+++ b/packages/currantreach-jobs/tests/test_lost_workers.py
@@ -432,3 +432,34 @@
         assert heard.waits()['w1'].over_s == 115
 
     play(scenario)
+
+
+def test_lease_of_the_store_that_expires_early_is_waited_for(
+    play,
+    job,
+    wait_until,
+):
+    """A store that was down drops the lease of a leader that still counts it.
+
+    The old leader is cut off from the store and goes on with its workers, of
+    which the new one reaches none.
+    """
+
+    async def scenario(fleet, site):
+        deciding = await begin(fleet, site, job, wait_until)
+        tenure = deciding.master.tenure
+        fleet.workers['w1'].unheard = {'a', 'b'} - {name_of(site, deciding)}
+        valid_until_s = tenure.valid_until_s
+        await wait_until(lambda: tenure.valid_until_s > valid_until_s)
+        deciding.store.is_rejected = True
+        fleet.store._end_lease(deciding.cell.lease_id)
+        other_name = 'b' if deciding is site.hosts['a'] else 'a'
+        other = site.hosts[other_name]
+        await wait_until(lambda: other.master and other.master._sessions)
+        settings = site.settings
+        last_order_s = tenure.valid_until_s + settings.hold_grace_s
+        over_s = other.master._sessions['w1'].lease_over_s
+        assert over_s >= last_order_s + settings.longest_lease_s
+        await wait_until(lambda: len(fleet.starts) == 2)
+
+    play(scenario)
