Give a worker up only once all jobs are known

Tasks that were placed on a silent worker waited until the next change of the leader. A successor that goes on with its predecessor's wait could be through with it while it still read the jobs; it then found no task to release, and never looked again.

A worker is lost only after all jobs were read. The test failed before: 'the condition did not come true in time'.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -195,7 +195,9 @@
                 self._silent_since_s,
                 self.lease_over_s,
             )
-        if now_s > self.lease_over_s and not self.is_lost:
+        # Tasks that were placed there are known once all jobs are read.
+        is_over = now_s > self.lease_over_s and self._board.is_complete.is_set()
+        if is_over and not self.is_lost:
             self._note_loss(now_s - self._silent_since_s)
 
     def _note_loss(self, silent_s: float) -> None:
--- a/packages/currantreach-jobs/tests/test_lost_workers.py
+++ b/packages/currantreach-jobs/tests/test_lost_workers.py
@@ -463,3 +463,26 @@
         await wait_until(lambda: len(fleet.starts) == 2)
 
     play(scenario)
+
+
+def test_wait_that_ends_while_jobs_are_read(play, job, wait_until):
+    """A worker given up before its jobs were known held them for ever.
+
+    A successor that goes on with the wait of its predecessor may be through
+    with it before it has read all jobs.
+    """
+
+    async def scenario(fleet, site):
+        deciding = await begin(fleet, site, job, wait_until)
+        fleet.workers['w1'].silent = True
+        await asyncio.sleep(site.settings.run_lease_s)
+        assert RELEASES_KEY in fleet.store.keys
+        fleet.store.list_delay_s = 2
+        deciding.kill()
+        await wait_until(lambda: leader_of(site))
+        successor = leader_of(site).master
+        await wait_until(lambda: successor.is_ready)
+        await wait_until(lambda: len(fleet.starts) == 2, 2)
+        assert leader_of(site).master is successor
+
+    play(scenario)
