Keep a worker released whose answers cannot be handled

A session that fails at each answer is opened again and counts its worker as silent. The answer itself had ended the release, so that each try wrote the record of releases twice and a successor waited for the worker anew.

The release ends only after an answer was handled. The test failed before, as the wait was gone.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -216,9 +216,6 @@
 
     def _absorb(self, reply: HoldReply, sent_at_s: float) -> None:
         now_s = self._clock.now_s()
-        self._failure_count = 0
-        self._silent_since_s = None
-        self._releases.end(self.worker_id)
         if not self._born_unix_ms:
             # From here on the worker obeys no earlier leader.
             self.lease_over_s = min(
@@ -241,6 +238,10 @@
             if is_new:
                 self._board.settle_worker(self.worker_id)
             self._compare(reply, sent_at_s)
+        # Only now: a session that always fails keeps the worker released.
+        self._failure_count = 0
+        self._silent_since_s = None
+        self._releases.end(self.worker_id)
 
     def _note_birth(self, reply: HoldReply) -> None:
         if self._born_unix_ms:
--- a/packages/currantreach-jobs/tests/test_worker_session.py
+++ b/packages/currantreach-jobs/tests/test_worker_session.py
@@ -231,3 +231,17 @@
     assert not bench.port.starts
     assert stage.waiting == {0}
     assert bench.session.lease_over_s == over_s
+
+
+async def test_session_that_fails_keeps_its_worker_released(bench):
+    """An answer that cannot be handled ends no wait of successors."""
+    await bench.hold(LostAnswerError('silent'))
+    await bench.hold(LostAnswerError('silent'))
+    releases = bench.session._releases
+    wait = releases.wait_for('w1')
+    bench.board.settle_worker = None
+    bench.session.is_adopted = False
+    with pytest.raises(TypeError):
+        await bench.hold(HoldReply(clock_ms=2000, born_unix_ms=1))
+    assert releases.wait_for('w1') is wait
+    assert not releases.may_order('w1')
