--- a/packages/currantreach-jobs/src/currantreach_jobs/_master.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_master.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 import contextlib
 from typing import TYPE_CHECKING
 
@@ -24,11 +23,7 @@
 )
 from currantreach_jobs._releases import Releases
 from currantreach_jobs._supervision import failure_of
-from currantreach_jobs._waiting import (
-    WaitMonitor,
-    WorkerState,
-    state_of_worker,
-)
+from currantreach_jobs._waiting import WaitMonitor, count_workers
 from currantreach_jobs._worker_session import WorkerSession
 from currantreach_platform import Write
 from currantreach_telemetry import log_event, log_problem
@@ -115,7 +110,8 @@
             outside.metrics,
         )
         self._committer.jobs = self.board.jobs
-        self.waits = WaitMonitor(self.board, clock, self._lease_over_s)
+        self._sessions: dict[str, WorkerSession] = {}
+        self.waits = WaitMonitor(self.board, clock, self._sessions)
         self._advisor = Advisor(
             cell,
             links,
@@ -132,7 +128,6 @@
             lambda: outside.source.config,
             outside.metrics,
         )
-        self._sessions: dict[str, WorkerSession] = {}
         self._session_tasks: dict[str, asyncio.Task[None]] = {}
         self._unlisted_since_s: dict[str, float] = {}
         self._load = Load()
@@ -168,20 +163,11 @@
 
     def worker_counts(self) -> dict[str, float]:
         """Return the number of workers by their state."""
-        now_s = self._clock.now_s()
-        counts: collections.Counter[str] = collections.Counter(
-            dict.fromkeys(WorkerState, 0),
+        return count_workers(
+            self.board.rooms,
+            self._sessions,
+            self._clock.now_s(),
         )
-        for worker_id, session in self._sessions.items():
-            room = self.board.rooms[worker_id]
-            state = state_of_worker(
-                room,
-                session.is_silent,
-                session.is_adopted,
-                now_s,
-            )
-            counts[state] += 1
-        return dict(counts)
 
     async def resign(self) -> None:
         """Write all that is noted and let another daemon decide."""
@@ -243,10 +229,6 @@
             return None
         return Obstacle.NO_LEASE
 
-    def _lease_over_s(self, worker_id: str) -> float:
-        session = self._sessions.get(worker_id)
-        return session.lease_over_s if session else 0
-
     def _is_over(self, tasks: list[asyncio.Task[None]]) -> bool:
         for task in tasks:
             if task.done() and not self.tenure.is_over:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_waiting.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_waiting.py
@@ -15,14 +15,15 @@
 from currantreach_types import unix_now_ms
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator, Mapping
+    from collections.abc import Iterator, Mapping
 
     from currantreach_jobs._board import Board
     from currantreach_jobs._progress import Stage
     from currantreach_jobs._rooms import WorkerRoom
+    from currantreach_jobs._worker_session import WorkerSession
     from currantreach_types import Clock
 
-__all__ = ('WaitMonitor', 'WorkerState', 'state_of_worker')
+__all__ = ('WaitMonitor', 'WorkerState', 'count_workers', 'state_of_worker')
 
 # Waits are looked at this often; a look goes over all open jobs.
 _SCAN_S = 0.5
@@ -66,15 +67,15 @@
         self,
         board: Board,
         clock: Clock,
-        lease_over_s: Callable[[str], float],
+        sessions: Mapping[str, WorkerSession],
     ) -> None:
         """Start with nothing reported.
 
-        :param lease_over_s: returns when the last lease on a worker ends.
+        :param sessions: sessions with all workers by their ids.
         """
         self._board = board
         self._clock = clock
-        self._lease_over_s = lease_over_s
+        self._sessions = sessions
         self._next_scan_s: float = 0
         self._gate: Obstacle | None = None
 
@@ -148,10 +149,10 @@
         return self._gate or stage.obstacle
 
     def _held_inputs(self, stage: Stage, now_s: float) -> Mapping[str, object]:
-        over_s = {
-            place.worker_id: self._lease_over_s(place.worker_id)
-            for place in stage.held.values()
-        }
+        over_s: dict[str, float] = {}
+        for place in stage.held.values():
+            session = self._sessions.get(place.worker_id)
+            over_s[place.worker_id] = session.lease_over_s if session else 0
         last = max(over_s, key=lambda worker_id: over_s[worker_id])
         return {'worker': last, 'for_s': round(over_s[last] - now_s, 1)}
 
@@ -241,3 +242,23 @@
         if not is_passed:
             return state
     return WorkerState.OPEN
+
+
+def count_workers(
+    rooms: Mapping[str, WorkerRoom],
+    sessions: Mapping[str, WorkerSession],
+    now_s: float,
+) -> dict[str, float]:
+    """Return the number of workers by their state."""
+    counts: collections.Counter[str] = collections.Counter(
+        dict.fromkeys(WorkerState, 0),
+    )
+    for worker_id, session in sessions.items():
+        state = state_of_worker(
+            rooms[worker_id],
+            session.is_silent,
+            session.is_adopted,
+            now_s,
+        )
+        counts[state] += 1
+    return dict(counts)
--- a/packages/currantreach-jobs/tests/test_failed_orders.py
+++ b/packages/currantreach-jobs/tests/test_failed_orders.py
@@ -156,7 +156,8 @@
         fleet.add('w1')
         host = site.start('a')
         await wait_until(lambda: host.master and host.master.is_ready)
-        await wait_until(lambda: host.master.board.rooms['w1'].is_usable)
+        rooms = host.master.board.rooms
+        await wait_until(lambda: 'w1' in rooms and rooms['w1'].is_usable)
         tenure = host.master.tenure
         session = host.master._session_tasks['w1']
         while not session.done():
--- a/packages/currantreach-jobs/tests/test_waiting.py
+++ b/packages/currantreach-jobs/tests/test_waiting.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import types
+
 import attrs
 import logbook
 import pytest
@@ -25,7 +27,9 @@
 def monitor(table):
     """Return a monitor whose workers' leases end 7 s after the start."""
     over_s = table.clock.now_s() + LEASE_S
-    return WaitMonitor(table.board, table.clock, lambda _: over_s)
+    session = types.SimpleNamespace(lease_over_s=over_s)
+    sessions = types.SimpleNamespace(get=lambda _: session)
+    return WaitMonitor(table.board, table.clock, sessions)
 
 
 @pytest.fixture
