Wait as long beside an unreadable fleet as for a lost worker

The wait beside a record of the fleet that cannot be read left out the lease of the earlier leader, which a store that is down may have dropped early.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_master.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_master.py
@@ -302,7 +302,7 @@
             # What runs where is not known until all leases have run out.
             settings = self._settings
             await asyncio.sleep(
-                settings.hold_grace_s + settings.longest_lease_s,
+                settings.last_order_s + settings.longest_lease_s,
             )
             return
         self._releases.keep_only(
