--- a/packages/currantreach-jobs/tests/conftest.py
+++ b/packages/currantreach-jobs/tests/conftest.py
@@ -497,6 +497,8 @@
         until_s = worker.fleet.clock.now_s() + wait_s
         while not reply.ended and worker.fleet.clock.now_s() < until_s:
             await asyncio.sleep(0.02)
+            if worker.born != reply.born_unix_ms and not reply.is_fenced:
+                raise LostAnswerError('the worker has started again')
             reply = worker.hold(token, acked_through, 0)
         await asyncio.sleep(0.003)
         return self._answer(reply)
@@ -537,6 +539,7 @@
         self.advice_calls = []
         self.advice_faults = []
         self.settled = {}
+        self.needed = {}
         self.known_config = SiteConfig(
             version=1,
             queues=(QUEUE, ADVISED),
@@ -579,8 +582,12 @@
 
     def needed_by(self, task):
         """Return the room that a task takes, from its stored job."""
-        stored = self.store.keys[f'jobs/{task.job_id}'].stored
-        return decode_job(stored).steps[task.step].needed
+        key = task.job_id, task.step
+        if key not in self.needed:
+            # The steps are dropped when the job has ended.
+            stored = self.store.keys[f'jobs/{task.job_id}'].stored
+            self.needed[key] = decode_job(stored).steps[task.step].needed
+        return self.needed[key]
 
     def note_start(self, worker, order):
         """Check a start against all other runs of its task."""
@@ -646,6 +653,9 @@
             ),
         )
 
+    async def on_advise(self, request):
+        return await AdviceDesk(self.fleet).ask(request)
+
     async def on_state(self, request):
         return self.answers.answer_state(request)
 
--- /dev/null
+++ b/packages/currantreach-jobs/tests/test_random_faults.py
@@ -0,0 +1,149 @@
+"""Seeded faults of all kinds at once; each job ends, and runs once at a time.
+
+Pattern: orders, sessions, watches and calls for advice end by unexpected
+exceptions, workers fall silent and are born again, and the leader is killed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import os
+import random
+
+import pytest
+
+SEEDS = range(int(os.environ.get('CURRANTREACH_FAULT_SEEDS', '12')))
+# Time with faults, and the bound for all jobs after the last one: a lease,
+# the wait for an earlier leader and a few tries.
+FAULTS_S = 20
+BOUND_S = 25
+
+
+def make_fault(chance):
+    """Return an exception that no interface names."""
+    return chance.choice(
+        [RuntimeError('closed'), KeyError('row'), asyncio.CancelledError()],
+    )
+
+
+def fail_a_call(chance, fleet, site):
+    """Let the next call of a kind end by an exception."""
+    faults = [worker.faults[kind] for worker, kind in _calls(fleet)]
+    faults.extend(host.store.faults['jobs/'] for host in site.hosts.values())
+    faults.append(fleet.advice_faults)
+    chance.choice(faults).append(make_fault(chance))
+
+
+def _calls(fleet):
+    return itertools.product(fleet.workers.values(), ('start', 'stop', 'hold'))
+
+
+def change_silence(chance, fleet, site):
+    """Let a worker fall silent, or answer again."""
+    worker = chance.choice(list(fleet.workers.values()))
+    worker.silent = not worker.silent
+
+
+def restart_worker(chance, fleet, site):
+    """Start a worker anew; calls under way are lost with it."""
+    worker = chance.choice(list(fleet.workers.values()))
+    worker.step()
+    worker.running.clear()
+    worker.delayed.clear()
+    worker.reborn()
+    worker.silent = True
+    asyncio.get_running_loop().call_later(1, answer_again, worker)
+
+
+def delay_a_start(chance, fleet, site):
+    """Let a worker carry out its next start late."""
+    chance.choice(list(fleet.workers.values())).late_starts += 1
+
+
+def restart_daemon(chance, fleet, site):
+    """Kill a daemon and start another one on its host."""
+    name = chance.choice(list(site.hosts))
+    site.hosts[name].kill()
+    site.start(name)
+
+
+DISTURBANCES = (
+    fail_a_call,
+    fail_a_call,
+    fail_a_call,
+    fail_a_call,
+    change_silence,
+    restart_worker,
+    delay_a_start,
+    restart_daemon,
+)
+
+
+def answer_again(worker):
+    """Let a worker answer that has started again."""
+    worker.silent = False
+
+
+def end_faults(fleet, site):
+    """Undo and forget all faults."""
+    fleet.advice_faults.clear()
+    for worker in fleet.workers.values():
+        worker.faults.clear()
+        worker.silent = False
+        worker.late_starts = 0
+        worker.carry_out()
+    for host in site.hosts.values():
+        host.store.faults.clear()
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_each_job_ends(play, job, wait_until, advised_queue, seed):
+    """Any combination left something waiting as long as a daemon led."""
+    random.seed(seed)
+    chance = random.Random(seed)
+
+    async def scenario(fleet, site):
+        for number in range(4):
+            fleet.add(f'w{number}')
+        for name in ('a', 'b', 'c'):
+            site.start(name)
+        end_s = fleet.clock.now_s() + FAULTS_S
+        accepted = []
+        while fleet.clock.now_s() < end_s:
+            fleet.work_s = chance.uniform(0.1, 3)
+            job_id = f'{len(accepted):016x}'
+            made = job(job_id, count=chance.randint(1, 3))
+            if chance.random() < 0.3:
+                made = job(job_id, queue=advised_queue)
+            if chance.random() < 0.2:
+                made = job(job_id, count=3, is_gang=True)
+            host = chance.choice(list(site.hosts.values()))
+            await host.intake.submit_here(made)
+            accepted.append(job_id)
+            chance.choice(DISTURBANCES)(chance, fleet, site)
+            await asyncio.sleep(chance.uniform(0.1, 1))
+        end_faults(fleet, site)
+
+        def is_over():
+            return not open_jobs(site, accepted)
+
+        try:
+            await wait_until(is_over, timeout_s=BOUND_S)
+        except AssertionError:
+            pytest.fail(f'not ended: {open_jobs(site, accepted)}')
+
+    play(scenario)
+
+
+def open_jobs(site, accepted):
+    """Return the jobs that the leader does not show as ended."""
+    for host in site.hosts.values():
+        if host.master is not None and host.master.is_ready:
+            jobs = host.master.board.jobs
+            return [
+                job_id
+                for job_id in accepted
+                if job_id not in jobs or not jobs[job_id].shown_state.is_final
+            ]
+    return accepted
