--- a/packages/currantreach-jobs/src/currantreach_jobs/_master.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_master.py
@@ -17,6 +17,7 @@
     FLEET_KEY,
     LEADER_KEY,
     FleetRecord,
+    ProgressRecord,
     cancel_key,
     job_key,
     progress_key,
@@ -43,7 +44,6 @@
     from currantreach_jobs._model import Job, WorkerReport
     from currantreach_jobs._ports import Surroundings
     from currantreach_jobs._progress import Run
-    from currantreach_jobs._records import ProgressRecord
     from currantreach_jobs._terms import JobSettings, Tenure
     from currantreach_types import Clock
 
@@ -249,7 +249,7 @@
             read_progress(self._store),
         )
         for unreadable_id in stored.unreadable.union(accepted.unreadable):
-            self._leave_out(unreadable_id)
+            _leave_out(self.board, unreadable_id)
         for job_id, (record, revision) in stored.records.items():
             self._committer.note_revision(job_id, revision)
             if job_id in accepted.jobs:
@@ -281,12 +281,7 @@
             self.board.add_job(job, record, first_attempt, weight)
         except MalformedMessageError as error:
             log_problem('job_unusable', job=job.job_id, error=error)
-            self._leave_out(job.job_id)
-
-    def _leave_out(self, job_id: str) -> None:
-        """Start nothing of a job, as its runs and ends are not known."""
-        self.board.unreadable.add(job_id)
-        self.board.count_retry('job_unreadable')
+            _leave_out(self.board, job.job_id)
 
     async def _recover_fleet(self) -> None:
         await self._releases.read()
@@ -513,6 +508,12 @@
     await asyncio.gather(*tasks, return_exceptions=True)
 
 
+def _leave_out(board: Board, job_id: str) -> None:
+    """Start nothing of a job, as its runs and ends are not known."""
+    board.unreadable.add(job_id)
+    board.count_retry('job_unreadable')
+
+
 def _report_failure(closing: asyncio.Task[None]) -> None:
     failure = failure_of(closing)
     if failure is not None:
