Let the soak wait for its daemons and end all of them

On a loaded machine daemons took 20 s to start, so that seeds played against nobody (starts=0) and were called sound. Callers and faults now begin once each daemon takes connections.

A soak that was stopped by SIGTERM left daemons behind (three and eight were seen): the signal to a daemon that had just ended raised, and the others were not ended. The signal now tolerates that, for each daemon.

--- a/tests/soak/_daemons.py
+++ b/tests/soak/_daemons.py
@@ -72,7 +72,9 @@
     def send(self, number):
         """Send a signal, if the daemon runs."""
         if self._child is not None and self._child.returncode is None:
-            self._child.send_signal(number)
+            # The process may have ended a moment ago.
+            with contextlib.suppress(ProcessLookupError):
+                self._child.send_signal(number)
 
     async def stop(self):
         """Stop the daemon like the platform does."""
--- a/tests/soak/_site.py
+++ b/tests/soak/_site.py
@@ -31,7 +31,8 @@
 _KEPT = 20
 _LIMITS = {'limited': 16000}
 _TEAMS = ('steady', 'limited', 'advised')
-_START_S = 3
+# A daemon starts within a second on an idle machine.
+_START_S = 60
 # Ports below those that the kernel hands out, with a range for each seed and
 # process: nobody else may take the port of a daemon that was killed.
 _FIRST_PORT = 10000
@@ -104,7 +105,8 @@
         self._tasks.append(asyncio.create_task(self._note_stalls()))
         for index in range(_DAEMONS):
             await self._add_daemon(f'd{index}', store_port, advice_port)
-        await asyncio.sleep(_START_S)
+        async with asyncio.timeout(_START_S):
+            await asyncio.gather(*map(_listening, self.frontends))
 
     def configure(self, *, has_spare=False, idle_timeout_s=15):
         """Write the next version of the configuration."""
@@ -167,6 +169,17 @@
         return relay
 
 
+async def _listening(address):
+    """Wait until a daemon takes connections."""
+    host, _, port = address.partition(':')
+    while True:
+        with contextlib.suppress(OSError):
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.close()
+            return
+        await asyncio.sleep(_STALL_STEP_S)
+
+
 async def play_seed(seed, folder, seconds, *, is_planned=False):
     """Play one seed and return what it showed.
 
@@ -189,8 +202,7 @@
         _check_cancelled(site.world)
     finally:
         await callers.close()
-        with contextlib.suppress(ProcessLookupError):
-            await site.close()
+        await site.close()
     return Found(
         seed=seed,
         broken=site.world.broken,
