--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -62,7 +62,7 @@
             await asyncio.sleep(_PAUSE_S)
             open_jobs = self._open_jobs()
         for left in open_jobs:
-            self.world.breach('lost', f'{left.job_id} is {left.shown or "?"}')
+            self._note_lost(left)
 
     async def ask(self, job):
         """Ask for the state of a job."""
@@ -72,6 +72,11 @@
         elif status == 410 and job.is_accepted:
             self.world.breach('lost', f'{job.job_id} is not known')
 
+    def _note_lost(self, job):
+        # The steps tell whether the job could be done at all.
+        shown = job.shown or 'never shown'
+        self.world.breach('lost', f'{job.job_id} is {shown}: {job.steps}')
+
     def _open_jobs(self):
         """Return the accepted jobs that were not shown as ended."""
         return [
