Bound the wait of a stage whose turn has come

Callers saw accepted jobs stand still for as long as others came. The order is by worth alone: a job that is late (past its latest start, or past three objectives) or beyond the share of its team came after every fresh one, and a gang past three objectives could not even keep room. A gang on a queue with advice found no turn either when it was not late: on a full fleet it asked for no advice, as too little room was free, and without verdicts it kept no room.

Now a stage that has waited 5 s goes first, one at a time, with room kept for it and advice on full workers, and the next turn waits until the last one has used no more than a quarter of the fleet.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -10,8 +10,10 @@
     eligible_rooms,
     fitting_count,
     rooms_to_ask,
+    rooms_to_learn,
     whole_count,
 )
+from currantreach_jobs._turns import Turns
 from currantreach_telemetry import log_event
 
 if TYPE_CHECKING:
@@ -19,7 +21,7 @@
 
     from currantreach_jobs._advisor import Advisor
     from currantreach_jobs._board import Board
-    from currantreach_jobs._model import Advice, SiteConfig
+    from currantreach_jobs._model import Advice, SiteConfig, Team
     from currantreach_jobs._progress import Run, Stage
     from currantreach_jobs._rooms import WorkerRoom
     from currantreach_telemetry import Metrics
@@ -60,6 +62,8 @@
         """
         self._reservable_count = 0
         self._open_rooms: dict[str, WorkerRoom] = {}
+        self._turns = Turns()
+        self._first: Stage | None = None
         self._board = board
         self._advisor = advisor
         self._clock = clock
@@ -82,24 +86,65 @@
             self._board.ready_stages(),
             key=lambda stage: _urgency(stage, now_s),
         )
+        for pending in stages:
+            pending.note_turn(now_s)
+        self._first = self._turns.choose(
+            stages,
+            self._open_rooms.values(),
+            now_s,
+        )
+        held_team = ''
+        if self._first is not None and self._first.waiting:
+            self._decide_on(self._first, now_s)
+            held_team = self._team_to_hold(self._first, now_s)
         for stage in stages:
-            stage.note_turn(now_s)
-            obstacle = _obstacle_before(stage, now_s)
-            if obstacle is None:
-                obstacle = self._try(stage, now_s)
-            stage.obstacle = obstacle or stage.obstacle
+            if stage is self._first:
+                continue
+            if held_team and stage.owner.job.team == held_team:
+                stage.obstacle = Obstacle.TEAM_LIMIT
+            else:
+                self._decide_on(stage, now_s)
         self._metrics.decided(self._clock.now_s() - now_s)
 
+    def _decide_on(self, stage: Stage, now_s: float) -> None:
+        obstacle = self._obstacle_before(stage, now_s)
+        if obstacle is None:
+            obstacle = self._try(stage, now_s)
+        stage.obstacle = obstacle or stage.obstacle
+
+    def _obstacle_before(self, stage: Stage, now_s: float) -> Obstacle | None:
+        """Return what keeps a stage from being tried at all."""
+        if now_s < stage.retry_at_s:
+            return Obstacle.PAUSED
+        # What is kept for a stage is kept while it waits for advice.
+        may_keep = stage.step.is_gang or stage is self._first
+        if not may_keep and stage.is_waiting_for_advice(now_s):
+            return Obstacle.ADVICE_PENDING
+        if stage.step.is_gang and len(stage.waiting) < stage.step.task_count:
+            return Obstacle.GANG_INCOMPLETE
+        return None
+
+    def _team_to_hold(self, first: Stage, now_s: float) -> str:
+        """Return the team whose other stages wait for the first one."""
+        if first.obstacle is not Obstacle.TEAM_LIMIT or not first.waiting:
+            return ''
+        team = self._team_of(first)
+        if self._board.teams.whole_for(team, first.step) < _wanted(first):
+            return ''
+        self._turns.note_kept(now_s)
+        return first.owner.job.team
+
     def _try(self, stage: Stage, now_s: float) -> Obstacle | None:
         """Start what has room; return what keeps the rest, if it is news."""
-        most = self._team_room(stage)
+        most = self._board.teams.room_for(self._team_of(stage), stage.step)
         if not most or (stage.step.is_gang and most < stage.step.task_count):
             return Obstacle.TEAM_LIMIT
         advice = stage.owner.job.queue.advice
         permitted = list(self._open_rooms.values())
         if advice is not None:
             permitted = self._rooms_with_tickets(stage, now_s)
-        permitted = eligible_rooms(stage, permitted, now_s)
+        is_first = stage is self._first
+        permitted = eligible_rooms(stage, permitted, now_s, is_first)
         assigned = assign(stage, permitted, most)
         self._start(stage, assigned)
         if assigned:
@@ -114,12 +159,17 @@
         advice = stage.owner.job.queue.advice
         obstacle = Obstacle.NO_ROOM
         stage.next_look_s = now_s + _LOOK_S
-        rooms = eligible_rooms(stage, self._open_rooms.values(), now_s)
+        rooms = eligible_rooms(
+            stage,
+            self._open_rooms.values(),
+            now_s,
+            stage is self._first,
+        )
         if now_s < stage.asked_until_s:
             obstacle = Obstacle.ADVICE_PENDING
         elif advice is not None:
             obstacle = self._ask(stage, advice, rooms, now_s)
-        if stage.step.is_gang:
+        if stage.step.is_gang or stage is self._first:
             self._reserve(stage, rooms, now_s)
         return obstacle
 
@@ -140,19 +190,21 @@
         rooms: Sequence[WorkerRoom],
         now_s: float,
     ) -> None:
-        """Keep what becomes free on some workers for a gang that waits.
+        """Keep what becomes free on some workers for a stage that waits.
 
         Otherwise smaller tasks take each piece of room as it becomes free,
         and a wide gang never starts on a full fleet.
         """
-        if stage.owner.is_worthless(now_s):
+        is_first = stage is self._first
+        if stage.owner.is_worthless(now_s) and not is_first:
             return
-        wanted = stage.step.task_count
+        most = len(rooms) if is_first else self._reservable_count
+        wanted = _wanted(stage)
         kept: list[WorkerRoom] = []
         for room in sorted(rooms, key=_free_cpu, reverse=True):
-            if wanted <= 0 or len(kept) >= self._reservable_count:
+            if wanted <= 0 or len(kept) >= most:
                 break
-            if _is_permitted(stage, room):
+            if whole_count(stage, room) and _is_permitted(stage, room):
                 kept.append(room)
                 wanted -= whole_count(stage, room)
         if wanted > 0:
@@ -161,11 +213,12 @@
         for reserved in kept:
             reserved.reserved_by = stage
             reserved.reserved_until_s = now_s + _RESERVATION_S
+        if is_first:
+            self._turns.note_kept(now_s)
 
-    def _team_room(self, stage: Stage) -> int:
+    def _team_of(self, stage: Stage) -> Team | None:
         config = self._read_config()
-        team = config.teams.get(stage.owner.job.team) if config else None
-        return self._board.teams.room_for(team, stage.step)
+        return config.teams.get(stage.owner.job.team) if config else None
 
     def _start(
         self,
@@ -211,17 +264,23 @@
             if stage.allowed.get(room.report.worker_id, True)
         ]
         least = _least_named(stage, advice)
-        wanted = len(stage.waiting) if stage.step.is_gang else 1
+        wanted = _wanted(stage)
         fitting = sum(fitting_count(stage, room) for room in open_rooms)
-        if fitting < wanted and not least:
+        has_room = fitting >= wanted or least
+        if not has_room and stage is not self._first:
             return Obstacle.NO_ROOM
-        named = rooms_to_ask(
-            stage,
-            open_rooms,
-            self._advisor.likelihood(stage.owner.job.queue.name),
-            now_s + advice.fixed_s + _CALL_MARGIN_S,
-            least,
-        )
+        likelihood = self._advisor.likelihood(stage.owner.job.queue.name)
+        named: list[WorkerRoom] = []
+        if has_room:
+            named = rooms_to_ask(
+                stage,
+                open_rooms,
+                likelihood,
+                now_s + advice.fixed_s + _CALL_MARGIN_S,
+                least,
+            )
+        if not named and stage is self._first:
+            named = rooms_to_learn(stage, open_rooms, likelihood, wanted)
         if not named:
             return Obstacle.NO_ROOM
         is_asked = self._advisor.ask(
@@ -234,16 +293,9 @@
         return Obstacle.NO_ADVISER_FREE
 
 
-def _obstacle_before(stage: Stage, now_s: float) -> Obstacle | None:
-    """Return what keeps a stage from being tried at all."""
-    if now_s < stage.retry_at_s:
-        return Obstacle.PAUSED
-    # A gang keeps its reservation up while it waits for advice.
-    if not stage.step.is_gang and stage.is_waiting_for_advice(now_s):
-        return Obstacle.ADVICE_PENDING
-    if stage.step.is_gang and len(stage.waiting) < stage.step.task_count:
-        return Obstacle.GANG_INCOMPLETE
-    return None
+def _wanted(stage: Stage) -> int:
+    """Return how many tasks of a stage start together."""
+    return stage.step.task_count if stage.step.is_gang else 1
 
 
 def _least_named(stage: Stage, advice: Advice) -> int:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
@@ -18,6 +18,7 @@
     'eligible_rooms',
     'fitting_count',
     'rooms_to_ask',
+    'rooms_to_learn',
     'whole_count',
 )
 
@@ -34,14 +35,18 @@
     stage: Stage,
     rooms: Iterable[WorkerRoom],
     now_s: float,
+    is_first: bool = False,
 ) -> list[WorkerRoom]:
     """Return the workers that may take tasks of a stage, most wanted first.
 
     :param rooms: workers on which anything may be started.
+    :param is_first: whether what is kept for others may be used.
 
     Fuller workers come first, so that large tasks and gangs find room.
     """
-    fitting = [room for room in rooms if _may_take(stage, room, now_s)]
+    fitting = [
+        room for room in rooms if _may_take(stage, room, now_s, is_first)
+    ]
     rack = stage.step.data_rack
     fitting.sort(
         key=lambda room: (
@@ -150,6 +155,39 @@
     return named[:_MOST_NAMED]
 
 
+def rooms_to_learn(
+    stage: Stage,
+    rooms: Iterable[WorkerRoom],
+    likelihood: float,
+    wanted: int,
+) -> list[WorkerRoom]:
+    """Return workers to name so that enough are known to be allowed.
+
+    Room can be kept on workers only whose verdicts are known, while they are
+    still full.
+
+    :param rooms: workers that are not known to be forbidden.
+    :param wanted: number of tasks that start together.
+    """
+    missing: float = wanted
+    unknown: list[WorkerRoom] = []
+    for room in rooms:
+        if stage.allowed.get(room.report.worker_id, False):
+            missing -= whole_count(stage, room)
+        else:
+            unknown.append(room)
+    unknown.sort(key=lambda room: room.free.cpu_milli, reverse=True)
+    named: list[WorkerRoom] = []
+    for unsure in unknown:
+        if missing <= 0:
+            break
+        count = whole_count(stage, unsure)
+        if count:
+            named.append(unsure)
+            missing -= count * likelihood / _NAMING_MARGIN
+    return named[:_MOST_NAMED]
+
+
 def _in_order_of_asking(
     stage: Stage,
     rooms: Sequence[WorkerRoom],
@@ -173,11 +211,17 @@
     )
 
 
-def _may_take(stage: Stage, room: WorkerRoom, now_s: float) -> bool:
+def _may_take(
+    stage: Stage,
+    room: WorkerRoom,
+    now_s: float,
+    is_first: bool,
+) -> bool:
     if not can_ever_take(stage, room):
         return False
-    if room.is_reserved_for_other(stage, now_s):
-        return False
+    if room.reserved_by is not None and not is_first:
+        if room.is_reserved_for_other(stage, now_s):
+            return False
     return not room.has_mixed_sharing(stage.step)
 
 
--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -90,6 +90,7 @@
     :ivar asked_until_s: when the outstanding call for advice is given up.
     :ivar wait_began_s: when its turn came, a worker confirmed its last start
         or its last run was over, whichever is latest; 0 before its turn.
+    :ivar last_turn_s: when it last had gone first because of its wait.
     :ivar report_after_s: wait after which the reason is written to the log.
     :ivar obstacle: what kept it from being started in the last round.
     :ivar room_obstacle: what kept it from having room when that was last
@@ -117,6 +118,7 @@
     retry_at_s: float = 0
     next_look_s: float = 0
     wait_began_s: float = 0
+    last_turn_s: float = 0
     report_after_s: float = _FIRST_REPORT_S
     obstacle: Obstacle = Obstacle.NO_ROOM
     room_obstacle: Obstacle = Obstacle.NO_ROOM
--- a/packages/currantreach-jobs/src/currantreach_jobs/_rooms.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_rooms.py
@@ -153,19 +153,29 @@
         """Return how many more tasks of a step the team may run."""
         if team is None:
             return step.task_count
-        used = self._used[team.name]
-        needed = step.needed
-        counts = [
-            (limit - have) // need
-            for limit, have, need in (
-                (team.limit.cpu_milli, used.cpu_milli, needed.cpu_milli),
-                (team.limit.memory_mib, used.memory_mib, needed.memory_mib),
-                (
-                    team.limit.accelerator_count,
-                    used.accelerator_count,
-                    needed.accelerator_count,
-                ),
-            )
-            if limit and need
-        ]
-        return max(0, min(counts, default=step.task_count))
+        return _count_within(team, self._used[team.name], step)
+
+    def whole_for(self, team: Team | None, step: Step) -> int:
+        """Return how many tasks of a step a team may run at all."""
+        if team is None:
+            return step.task_count
+        return _count_within(team, Resources(), step)
+
+
+def _count_within(team: Team, used: Resources, step: Step) -> int:
+    """Return how many tasks of a step fit into the limit of a team."""
+    needed = step.needed
+    counts = [
+        (limit - have) // need
+        for limit, have, need in (
+            (team.limit.cpu_milli, used.cpu_milli, needed.cpu_milli),
+            (team.limit.memory_mib, used.memory_mib, needed.memory_mib),
+            (
+                team.limit.accelerator_count,
+                used.accelerator_count,
+                needed.accelerator_count,
+            ),
+        )
+        if limit and need
+    ]
+    return max(0, min(counts, default=step.task_count))
