Write a line when a stage goes first or loses its turn

Whether a stage went first because of its wait could only be told from the order of the starts. turn_given and turn_over name the stage, its wait and what kept it back.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_turns.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_turns.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from currantreach_telemetry import log_event
 from currantreach_types import Resources
 
 if TYPE_CHECKING:
@@ -69,6 +70,8 @@
         self._began_s = now_s
         self._idle_at_s = now_s + _IDLE_TURN_S
         self._has_kept = False
+        if self._stage is not None:
+            _log_turn('turn_given', self._stage, now_s)
         return self._stage
 
     def note_kept(self, now_s: float) -> None:
@@ -93,6 +96,8 @@
         now_s: float,
     ) -> None:
         self._stage = None
+        if stage.waiting:
+            _log_turn('turn_over', stage, now_s)
         stage.last_turn_s = now_s
         used_s = now_s - self._began_s if self._has_kept else 0
         if not stage.waiting:
@@ -107,6 +112,17 @@
     return bool(stage.waiting)
 
 
+def _log_turn(event: str, stage: Stage, now_s: float) -> None:
+    log_event(
+        event,
+        job=stage.owner.job.job_id,
+        step=stage.number,
+        waiting=len(stage.waiting),
+        since_s=round(now_s - stage.wait_began_s, 1),
+        reason=stage.obstacle,
+    )
+
+
 def _part_of_fleet(stage: Stage, rooms: Iterable[WorkerRoom]) -> float:
     """Return the part of the processors or memory that a stage takes."""
     whole = sum((room.report.room for room in rooms), Resources())
--- a/packages/currantreach-jobs/tests/test_starvation.py
+++ b/packages/currantreach-jobs/tests/test_starvation.py
@@ -11,6 +11,7 @@
 import statistics
 
 import attrs
+import logbook
 import pytest
 
 from currantreach_jobs import Advice, EndedRun, EndKind, Queue, SiteConfig, Team
@@ -248,6 +249,16 @@
 
 def test_stage_that_cannot_start_passes_its_turn_on(load, late):
     """A gang that no workers can hold must not keep others from their turn."""
+    with logbook.TestHandler().applicationbound() as log:
+        _play_beside_a_gang_that_never_fits(load, late)
+    lines = [record.message for record in log.records]
+    turns = [line for line in lines if 'event=turn_' in line]
+    assert 'event=turn_given job=never' in turns[0]
+    assert 'event=turn_over job=never' in turns[1]
+    assert any('event=turn_given job=late' in line for line in turns)
+
+
+def _play_beside_a_gang_that_never_fits(load, late):
     late('never', 9, age_s=2000, is_gang=True)
     load.play(1)
     late('late')
