Send long calls for advice around daemons whose last call failed

Callers of queues with long calls (tine scans) waited through a cut of a failure domain: such calls go to the farther half of the daemons only, and if all of these had failed, none was sent for 3 s and the next one failed again, until their records ran out after 6 s.

Daemons whose last call failed within 3 s are left out before the halves are taken, unless no other is left. The test failed before: 'far1' in {'near1', 'own'}; 9 tests of the module pass. Found on reading, not seen in a run.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_advisor.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_advisor.py
@@ -11,7 +11,7 @@
 from currantreach_telemetry import log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Collection, Sequence
 
     from currantreach_jobs._cell import Cell
     from currantreach_jobs._links import Links
@@ -97,6 +97,7 @@
         self._wake = wake
         self._metrics = metrics
         self._busy_until_s: dict[str, float] = collections.defaultdict(float)
+        self._suspect_until_s: dict[str, float] = {}
         self._named: collections.Counter[str] = collections.Counter()
         self._allowed: collections.Counter[str] = collections.Counter()
         self._in_flight: collections.Counter[str] = collections.Counter()
@@ -153,7 +154,7 @@
         """Return the daemon through which a call is answered first."""
         # The nearest half takes the short calls, whose way counts most.
         members = sorted(
-            self._cell.members,
+            self._trusted(now_s),
             key=lambda name: (self._distance_s(name), name),
         )
         middle = (len(members) + 1) // 2
@@ -169,6 +170,19 @@
             ),
         )
 
+    def _trusted(self, now_s: float) -> Collection[str]:
+        """Return the daemons whose last call did not fail, if there are any.
+
+        A cut takes away all daemons of a failure domain, which may be the
+        half that takes the long calls.
+        """
+        trusted = [
+            member
+            for member in self._cell.members
+            if now_s >= self._suspect_until_s.get(member, 0)
+        ]
+        return trusted or self._cell.members
+
     def _distance_s(self, member: str) -> float:
         """Return roughly how long a message to a daemon takes, both ways."""
         if member == self._cell.daemon_id:
@@ -252,6 +266,7 @@
         self._in_flight[member] -= 1
         if not is_answered:
             self._busy_until_s[member] = now_s + _SUSPECT_S
+            self._suspect_until_s[member] = now_s + _SUSPECT_S
         elif not self._in_flight[member]:
             self._busy_until_s[member] = now_s
         self._wake()
--- a/packages/currantreach-jobs/tests/test_advice.py
+++ b/packages/currantreach-jobs/tests/test_advice.py
@@ -139,6 +139,17 @@
     assert chosen == {'far1', 'far2', 'far3'}
 
 
+def test_long_call_leaves_out_daemons_that_failed(advisor, stage):
+    """No long call was sent while the farther half was cut off."""
+    for member in ('far1', 'far2', 'far3'):
+        advisor._free(stage(1), member, is_answered=False)
+    member = advisor._choose(1, NOW_S)
+    assert member in {'near1', 'own'}
+    assert advisor._busy_until_s[member] <= NOW_S
+    advisor._clock.advance(4)
+    assert advisor._choose(1, NOW_S + 4).startswith('far')
+
+
 def test_single_daemon_takes_all_calls(advisor):
     """A cell of one daemon has to serve both kinds of calls."""
     advisor._cell.members = {'own': 'address'}
