Show that ends of a reborn worker are acknowledged unread

A task ran twice: a start that was repeated reached a worker that was born again under its id before the next hold did. That hold carried the acknowledged number of the life before, so that the worker forgot the end of the new run; the run was not listed any more, was taken for lost and started again.

--- /dev/null
+++ b/packages/currantreach-jobs/tests/test_reborn_workers.py
@@ -0,0 +1,48 @@
+"""Workers that start again under their id while an order is repeated."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+
+@pytest.mark.parametrize('away_s', [1.2, 1.3, 1.4])
+@pytest.mark.parametrize('phase_s', [0, 0.25, 0.5, 0.75])
+def test_end_of_a_new_life_is_not_acknowledged_unread(
+    play,
+    job,
+    wait_until,
+    phase_s,
+    away_s,
+):
+    """The first call to a worker acknowledged ends of its life before.
+
+    A start that was repeated reached the new life of the worker before the
+    next hold; the hold carried the number of the old life, so that the end of
+    the new run was forgotten unread and its task was started again.
+    """
+
+    async def scenario(fleet, site):
+        random.seed(0)
+        worker = fleet.add('w1')
+        host = site.start('a')
+        await wait_until(lambda: host.master and host.master.is_ready)
+        fleet.work_s = 0.1
+        await host.intake.submit(job('0' * 16, count=9))
+        await wait_until(lambda: len(fleet.settled) == 9)
+        await asyncio.sleep(phase_s)
+        # The process of the worker is gone, calls to it are lost.
+        worker.running.clear()
+        worker.silent = True
+        worker.mute = True
+        await host.intake.submit(job('1' * 16))
+        await asyncio.sleep(away_s)
+        worker.reborn()
+        worker.silent = False
+        worker.mute = False
+        await asyncio.sleep(10)
+        assert len(fleet.starts) == 10
+
+    play(scenario)
