Show that a wait without the fleet record is too short

The wait for an earlier leader whose store lease was dropped early covers its lease since. The wait without a readable record of the fleet still covers its grace only, so that a task was started beside its run on a worker that the earlier leader held.

--- /dev/null
+++ b/packages/currantreach-jobs/tests/test_unknown_fleet.py
@@ -0,0 +1,54 @@
+"""An unreadable record of the fleet, after a leader that still extends."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import attrs
+import pytest
+
+from currantreach_jobs import JobSettings
+from currantreach_jobs._records import FLEET_KEY
+
+SLOWEST_RATE = 0.98
+
+
+@pytest.mark.parametrize('phase_s', [0, 0.2, 0.4, 0.6, 0.8])
+def test_unknown_fleet_waits_for_an_earlier_leader(
+    play,
+    job,
+    wait_until,
+    phase_s,
+):
+    """The store dropped the lease of a leader that still extended leases.
+
+    Without the record of the fleet the successor waited for the grace of the
+    earlier leader, but not for its lease, and started its task again.
+    """
+
+    async def scenario(fleet, site):
+        random.seed(0)
+        # A host of this size campaigns without a delay.
+        site.settings = JobSettings(core_count=2)
+        fleet.add('w1', rate=SLOWEST_RATE)
+        fleet.work_s = 30
+        first = site.start('a')
+        await first.intake.submit(job('0' * 16))
+        await wait_until(lambda: fleet.starts)
+        site.start('b')
+        fleet.add('w2')
+        await asyncio.sleep(2 + phase_s)
+        fleet.workers['w1'].unheard = {'b'}
+        tenure = first.master.tenure
+        valid_until_s = tenure.valid_until_s
+        await wait_until(lambda: tenure.valid_until_s > valid_until_s)
+        first.store.is_rejected = True
+        fleet.store.keys[FLEET_KEY] = attrs.evolve(
+            fleet.store.keys[FLEET_KEY],
+            stored=b'none',
+        )
+        fleet.store._end_lease(first.cell.lease_id)
+        await wait_until(lambda: len(fleet.starts) == 2, timeout_s=40)
+
+    play(scenario)
