Show that a cancelled writer of releases goes unnoticed

A part of a tenure that ends as cancelled counts as failed since. The part that writes the releases is watched by a callback of its own that passes over cancelled ones: a worker that answered again was not used, and its leases not extended, for the rest of the tenure.

--- /dev/null
+++ b/packages/currantreach-jobs/tests/test_release_writer.py
@@ -0,0 +1,33 @@
+"""The writer of the record of releases, ended by a library."""
+
+from __future__ import annotations
+
+import asyncio
+
+from currantreach_jobs._records import RELEASES_KEY
+
+
+def test_cancelled_write_of_releases(play, job, wait_until):
+    """A worker that answered again was not used for the rest of the tenure."""
+
+    async def scenario(fleet, site):
+        worker = fleet.add('w1')
+        host = site.start('a')
+        await wait_until(lambda: host.master and host.master.is_ready)
+        await asyncio.sleep(2)
+        commit = host.store.commit
+        faults = [asyncio.CancelledError()]
+
+        async def cancel_once(expected, writes, removed=()):
+            if RELEASES_KEY in expected and faults:
+                raise faults.pop()
+            return await commit(expected, writes, removed)
+
+        host.store.commit = cancel_once
+        worker.silent = True
+        await wait_until(lambda: not faults, timeout_s=5)
+        worker.silent = False
+        await host.intake.submit(job('0' * 16))
+        await wait_until(lambda: fleet.done, timeout_s=15)
+
+    play(scenario)
