Believe the end of a lead that is heard before its claim is answered

What callers would see: a daemon that serves and leads nothing; a lone one for good.

Cause: the answer to a claim may arrive after the watch has told that the record is gone. The daemon then noted itself as the leader, and no event removed that.

Change: the own record is noted only while the watch has heard nothing newer. The test failed before ('the condition did not come true in time') and passes; 39 tests of takeovers and restarts pass.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_cell.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_cell.py
@@ -117,6 +117,8 @@
         self._records: dict[str, MemberRecord] = {}
         self._changed = asyncio.Event()
         self._is_known = False
+        # The answer to a claim may come after the end of the lead was heard.
+        self._heard_revision = 0
 
     async def follow(self) -> None:
         """Follow the records of the daemons."""
@@ -142,6 +144,7 @@
                 self._note(entry)
             for key in found.deleted:
                 self._note_deleted(key)
+            self._heard_revision = revision
             self._changed.set()
 
     async def keep_member(self) -> None:
@@ -244,6 +247,7 @@
         for entry in found.changed:
             self._note(entry)
         self._is_known = True
+        self._heard_revision = found.revision
         self.has_store_at_s = self._clock.now_s()
         self._changed.set()
         await self._end_predecessor()
@@ -368,7 +372,8 @@
             await self._store.revoke_lease(self.lease_id)
             raise
         log_event('leadership_acquired', epoch=epoch)
-        self.leader = self._record(epoch)
+        if self._heard_revision < revision:
+            self.leader = self._record(epoch)
         return Tenure(
             epoch=epoch,
             revision=revision,
