End a tenure whose writer of releases or renewals was cancelled

What callers would see: a worker that was silent once takes nothing for the rest of the tenure.

Cause: a cancelled part of the tenure was passed over, and the renewals of the lead were not watched at all.

Change: both parts end the tenure if they end before it, however they end. The test failed before ('the condition did not come true in time') and passes.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_master.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_master.py
@@ -141,12 +141,14 @@
         keeping = asyncio.create_task(self._cell.keep(self.tenure))
         # Workers that do not answer are released while the jobs are read.
         releasing = asyncio.create_task(self._releases.keep())
-        releasing.add_done_callback(self._end_on_failure)
+        parts = [keeping, releasing]
+        for part in parts:
+            part.add_done_callback(self._end_on_failure)
         try:
             await self._recover_and_decide()
         finally:
             self.tenure.is_over = True
-            await self._close([keeping, releasing])
+            await self._close(parts)
         log_event('tenure_over', epoch=self.tenure.epoch)
 
     def load(self) -> Load:
@@ -489,8 +491,11 @@
         self._committer.forget(job_id)
 
     def _end_on_failure(self, part: asyncio.Task[None]) -> None:
-        if not part.cancelled() and part.exception() is not None:
-            log_problem('part_failed', error=repr(part.exception()))
+        if self.tenure.is_over:
+            return
+        failure = failure_of(part)
+        if failure is not None:
+            log_problem('part_failed', error=repr(failure))
             self.tenure.is_over = True
 
     async def _close(self, parts: list[asyncio.Task[None]]) -> None:
