Let a rejected record hide no ends of other jobs

What callers saw: one job whose record the store does not take kept all later ends of its worker listed. A worker lists 500 at a time, so after that many the ends of other jobs were not seen and these jobs stood still. The starts of such a job also took room for 2 s out of each 2.2 s.

Cause: an acknowledgement is cumulative, and it waited for the records of all jobs with noted ends. Starts of the job were decided again after each that found no record.

Change: the acknowledgement goes through the ends before the first one of a job whose record was rejected, and waits for the records of these only. Nothing more of the job is started until its record is written; waiting stages show record_rejected. A done task of such a job runs again only if its end was let go and the leader changes before the record is written.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_board.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_board.py
@@ -319,7 +319,8 @@
         """Yield all stages with tasks that may be started."""
         unix_ms = unix_now_ms()
         for progress in self.open_jobs.values():
-            yield from progress.ready_stages(unix_ms)
+            if not progress.is_unwritable:
+                yield from progress.ready_stages(unix_ms)
 
     def pending_count(self, queue_name: str) -> int:
         """Return the number of jobs of a queue that have not begun."""
--- a/packages/currantreach-jobs/src/currantreach_jobs/_commits.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_commits.py
@@ -271,6 +271,7 @@
                 continue
             if entry.is_suspect:
                 entry.is_rejected = True
+                self.jobs[job_id].is_unwritable = True
                 self._unwritten.pop(job_id, None)
                 self._metrics.retried('record_rejected')
                 log_problem('record_rejected', job=job_id)
@@ -369,6 +370,7 @@
                 entry.changed_at_s = self._clock.now_s()
                 self._unwritten[job_id] = entry
             self.jobs[job_id].durable_state = states[job_id]
+            self.jobs[job_id].is_unwritable = False
 
     def _entry_of(self, job_id: str) -> _Entry:
         return self._entries.setdefault(job_id, _Entry())
--- a/packages/currantreach-jobs/src/currantreach_jobs/_obstacles.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_obstacles.py
@@ -21,6 +21,7 @@
     :cvar NO_ROOM: no open worker has room.
     :cvar RECORDS_UNWRITTEN: nothing is started before the store has the
         records of other starts.
+    :cvar RECORD_REJECTED: the store has rejected the record of the job.
     :cvar NO_LEASE: nothing is started while the leader's lease is not sure.
     """
 
@@ -34,4 +35,5 @@
     RESERVED = 'reserved'
     NO_ROOM = 'no_room'
     RECORDS_UNWRITTEN = 'records_unwritten'
+    RECORD_REJECTED = 'record_rejected'
     NO_LEASE = 'no_lease'
--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -253,6 +253,8 @@
     :ivar objective_s: time from the acceptance in which callers want the
         job to be complete, by the estimates of its steps.
     :ivar durable_state: newest state that is in the store.
+    :ivar is_unwritable: whether the store has rejected the newest record.
+        Nothing of the job is started meanwhile, as no place can be noted.
     """
 
     job: Job
@@ -261,6 +263,7 @@
     state: JobState = JobState.QUEUED
     durable_state: JobState = JobState.QUEUED
     ended_unix_ms: int = 0
+    is_unwritable: bool = False
     has_started: bool = False
     is_excess: bool = False
     objective_s: float = 0
--- a/packages/currantreach-jobs/src/currantreach_jobs/_waiting.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_waiting.py
@@ -146,6 +146,8 @@
     def _obstacle_of(self, stage: Stage) -> Obstacle:
         if not stage.waiting or (stage.step.is_gang and stage.held):
             return Obstacle.HELD
+        if stage.owner.is_unwritable:
+            return Obstacle.RECORD_REJECTED
         return self._gate or stage.obstacle
 
     def _held_inputs(self, stage: Stage, now_s: float) -> Mapping[str, object]:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -9,6 +9,7 @@
 from currantreach_jobs._model import StartAnswer, StartOrder
 from currantreach_jobs._orders import BackgroundOrders
 from currantreach_jobs._progress import RunPhase
+from currantreach_jobs._unacked import UnackedEnds
 from currantreach_telemetry import log_event, log_problem
 from currantreach_types.errors import PlatformError, WorkerUnavailableError
 
@@ -77,7 +78,7 @@
         self._clock = clock
         self._written = written
         self._releases = releases
-        self._unwritten_jobs: set[str] = set()
+        self._unacked = UnackedEnds(board)
         self._is_silent = False
         self._born_unix_ms = 0
         self._clock_ms = 0
@@ -258,6 +259,7 @@
         self._born_unix_ms = reply.born_unix_ms
         self._noted_through = 0
         self._acked_through = 0
+        self._unacked.clear()
 
     def _adopt(self, reply: HoldReply) -> None:
         """Take over what runs."""
@@ -275,7 +277,7 @@
         for ended in reply.ended:
             if ended.number > self._noted_through:
                 self._noted_through = ended.number
-                self._unwritten_jobs.add(ended.task.job_id)
+                self._unacked.note(ended.number, ended.task.job_id)
                 self._board.end_run(self.worker_id, ended, is_new)
 
     def _compare(self, reply: HoldReply, sent_at_s: float) -> None:
@@ -299,18 +301,33 @@
                 self._board.lose_run(run)
 
     async def _acknowledge(self) -> None:
-        """Let the worker forget ends once they are in the store."""
+        """Let the worker forget ends once they are in the store.
+
+        Ends that cannot be in the store for now stay listed, with all later
+        ones, as long as these are few.
+        """
         if not self.is_adopted:
             await self._wait_for_board()
-        if self._noted_through == self._acked_through:
+        if not self._unacked:
+            return
+        ends, let_go = self._unacked.leading()
+        if not ends:
+            # A worker answers at once while it lists ends.
+            await asyncio.sleep(_UNWRITTEN_PAUSE_S)
             return
-        noted = self._noted_through
         born = self._born_unix_ms
-        jobs = tuple(self._unwritten_jobs)
+        jobs = tuple(set(ends.values()).difference(let_go))
         is_written = await self._is_written(jobs, _UNWRITTEN_PAUSE_S)
         if is_written and born == self._born_unix_ms:
-            self._acked_through = noted
-            self._unwritten_jobs.difference_update(jobs)
+            self._note_let_go(let_go)
+            self._acked_through = max(ends)
+            self._unacked.drop_through(self._acked_through)
+
+    def _note_let_go(self, job_ids: Sequence[str]) -> None:
+        """Note that the worker forgets ends that are not in the store."""
+        for job_id in job_ids:
+            self._board.count_retry('end_let_go')
+            log_problem('end_let_go', job=job_id, worker=self.worker_id)
 
     async def _wait_for_board(self) -> None:
         """Wait before the next try to adopt the worker."""
