Send nothing of a known life to a silent worker

What callers saw: tasks that were done ran again. A worker that was born again under its id, while a start was repeated to it, ran the task in its new life; the first hold forgot the end before anyone had read it.

Cause: a hold after a silence carried the number acknowledged in the life before. The numbers of a new life begin at 1 again, so its first ends were forgotten unread, and the next comparison took their runs for lost. A repeated start carried a deadline by the clock of the life before as well. Without a silence the same number was sent with every hold, long after the ends were gone.

Change: while the last call had no answer, a hold acknowledges 0 and extends no lease, and no start is sent or repeated. An acknowledgement is sent only while the list still shows ends, so that a worker that is born again between two answered calls gets none in nearly all cases.

What remains: a worker that is born again, runs a task and ends it between an answer that lists ends and the hold that acknowledges them.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -84,6 +84,7 @@
         self._clock_read_s: float = 0
         self._noted_through = 0
         self._acked_through = 0
+        self._has_listed_ends = False
         # An earlier leader may still extend leases.
         self.lease_over_s = (
             tenure.began_at_s + settings.last_order_s + settings.longest_lease_s
@@ -159,11 +160,18 @@
         may_order = self._releases.may_order(self.worker_id)
         is_calm = self.is_adopted and not self._is_silent and not has_unacked
         deadline_ms = 0
-        if self._born_unix_ms and may_order and not self._is_silent:
-            deadline_ms = self._new_deadline_ms(now_s)
+        acked_through = 0
+        # Numbers and clock are those of one life of the worker; one that was
+        # silent may have been born again. Ends that are not listed any more
+        # need no acknowledgement.
+        if self._born_unix_ms and not self._is_silent:
+            if may_order:
+                deadline_ms = self._new_deadline_ms(now_s)
+            if self._has_listed_ends:
+                acked_through = self._acked_through
         return await self._port.hold(
             self._tenure.epoch,
-            self._acked_through,
+            acked_through,
             deadline_ms,
             self._settings.hold_wait_s if is_calm and may_order else 0,
         )
@@ -231,6 +239,7 @@
             self._note_birth(reply)
         self._clock_ms = reply.clock_ms
         self._clock_read_s = now_s
+        self._has_listed_ends = bool(reply.ended)
         if self._is_silent:
             log_event('worker_answers', worker=self.worker_id)
         self._is_silent = False
@@ -361,7 +370,10 @@
 
     def _may_start(self, run: Run, now_s: float) -> bool:
         is_wanted = run.phase is RunPhase.STARTING
-        may_order = self._releases.may_order(self.worker_id)
+        # The deadline is a reading of the clock of a known life.
+        may_order = not self._is_silent and self._releases.may_order(
+            self.worker_id,
+        )
         return is_wanted and may_order and self._tenure.may_start(now_s)
 
     def _give_up(self, run: Run, is_unsure: bool) -> None:
--- a/packages/currantreach-jobs/tests/test_worker_session.py
+++ b/packages/currantreach-jobs/tests/test_worker_session.py
@@ -214,6 +214,52 @@
     assert stage.waiting == {0}
 
 
+async def test_end_of_a_life_begun_between_two_answers_is_kept(bench, job):
+    """Each hold repeated an acknowledgement that was obeyed already.
+
+    A worker that was born again between two answers forgot ends by it.
+    """
+    bench.board.add_job(job('6' * 16, count=2))
+    stage = bench.board.jobs['6' * 16].stages[0, 0]
+    runs = [bench.board.begin(stage, index, 'w1', 1) for index in range(2)]
+    bench.board.confirm(runs[0])
+    bench.board.confirm(runs[1])
+    first, second = (
+        EndedRun(number=1, task=run.task, attempt=1, kind=EndKind.DONE)
+        for run in runs
+    )
+    whole = HoldReply(clock_ms=1010, born_unix_ms=1)
+    await bench.hold(attrs.evolve(whole, ended=(first,)))
+    await bench.session._acknowledge()
+    await bench.hold(whole)
+    await bench.hold(HoldReply(clock_ms=5, born_unix_ms=2, ended=(second,)))
+    assert [hold[0] for hold in bench.port.holds[-2:]] == [1, 0]
+    assert stage.is_done
+
+
+async def test_nothing_of_a_known_life_is_sent_to_a_silent_worker(bench, job):
+    """A silent worker may have been born again, with another clock.
+
+    A start was sent with a deadline by the clock of the life before.
+    """
+    bench.board.add_job(job('7' * 16))
+    stage = bench.board.jobs['7' * 16].stages[0, 0]
+    run = bench.board.begin(stage, 0, 'w1', 1)
+    bench.written.clear()
+    bench.session.start(run, '')
+    await asyncio.sleep(0)
+    await bench.hold(LostAnswerError('silent'))
+    over_s = bench.session.lease_over_s
+    bench.clock.advance(0.3)
+    bench.written.set()
+    await asyncio.sleep(0.01)
+    await bench.hold(LostAnswerError('silent'))
+    assert not bench.port.starts
+    assert bench.port.holds[-1][:2] == (0, 0)
+    assert bench.session.lease_over_s == over_s
+    assert stage.waiting == {0}
+
+
 async def test_nothing_is_ordered_on_a_released_worker(bench, job):
     """A start that waited for its record outlasts what a successor waits."""
     bench.board.add_job(job('4' * 16))
