Take held runs for running while lists may not show them

What callers saw: after a change of the leader a task ran again that still ran or was done, and a task failed once more than its queue allows. The first list of its worker had an unreadable row, or was full of other ends.

Cause: the adoption of a worker took any list for whole. It gave up all runs that were held for the worker and not listed, and ends of runs of an earlier leader counted only from that first list.

Change: if the list at the adoption is full or partial, the runs that are held for the worker are taken over as running, with their room. Their ends count like those of other runs, whenever they are listed, and the first whole list that shows neither a run nor its end gives the run up.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -7,7 +7,13 @@
 
 import attrs
 
-from currantreach_jobs._model import Job, JobState, Step, TaskKey
+from currantreach_jobs._model import (
+    Job,
+    JobState,
+    RunningRun,
+    Step,
+    TaskKey,
+)
 from currantreach_jobs._obstacles import Obstacle
 from currantreach_jobs._records import Place, ProgressRecord, StageRecord
 from currantreach_types import Resources
@@ -295,6 +301,17 @@
             workers.update(place.worker_id for place in stage.held.values())
         return workers
 
+    def held_runs(self, worker_id: str) -> list[RunningRun]:
+        """Return the runs on a worker for which tasks are held back."""
+        return [
+            RunningRun(
+                task=stage.key_of(index),
+                attempt=stage.held[index].attempt,
+            )
+            for stage in self.stages.values()
+            for index in stage.held_on(worker_id)
+        ]
+
     def is_worthless(self, now_s: float) -> bool:
         """Tell whether the job is too late to be worth anything."""
         age_s = now_s - self.accepted_at_s
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -250,6 +250,8 @@
         if self.is_adopted:
             self._note_ends(reply, is_new)
             if is_new:
+                if not _is_whole(reply):
+                    self._adopt_held()
                 self._board.settle_worker(self.worker_id)
             self._compare(reply, sent_at_s)
         # Only now: a session that always fails keeps the worker released.
@@ -280,6 +282,12 @@
             ended=len(reply.ended),
         )
 
+    def _adopt_held(self) -> None:
+        """Take over runs of earlier owners that the lists may not show."""
+        for progress in self._board.open_jobs.values():
+            for hidden in progress.held_runs(self.worker_id):
+                self._board.adopt(self.worker_id, hidden)
+
     def _note_ends(self, reply: HoldReply, is_new: bool) -> None:
         for ended in reply.ended:
             if ended.number > self._noted_through:
@@ -300,7 +308,7 @@
             if found_run is not None and found_run.checkpoint:
                 task = run.stage.tasks[run.task.index]
                 task.checkpoint = found_run.checkpoint
-        if reply.is_partial or len(reply.ended) >= _FULL_LIST:
+        if not _is_whole(reply):
             return
         for run in tuple(room.running()):
             is_listed = (run.task, run.attempt) in listed
@@ -469,3 +477,8 @@
             elif run is not None:
                 run.settled_at_s = self._clock.now_s()
             return
+
+
+def _is_whole(reply: HoldReply) -> bool:
+    """Tell whether the lists show all runs and all ends of a worker."""
+    return not reply.is_partial and len(reply.ended) < _FULL_LIST
