--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -85,6 +85,7 @@
         self._clock_read_s: float = 0
         self._noted_through = 0
         self._acked_through = 0
+        self._has_listed_ends = False
         # An earlier leader may still extend leases.
         self.lease_over_s = (
             tenure.began_at_s + settings.last_order_s + settings.longest_lease_s
@@ -160,11 +161,18 @@
         may_order = self._releases.may_order(self.worker_id)
         is_calm = self.is_adopted and not self._is_silent and not has_unacked
         deadline_ms = 0
-        if self._born_unix_ms and may_order and not self._is_silent:
-            deadline_ms = self._new_deadline_ms(now_s)
+        acked_through = 0
+        # Numbers and clock are those of one life of the worker; one that was
+        # silent may have been born again. Ends that are not listed any more
+        # need no acknowledgement.
+        if self._born_unix_ms and not self._is_silent:
+            if may_order:
+                deadline_ms = self._new_deadline_ms(now_s)
+            if self._has_listed_ends:
+                acked_through = self._acked_through
         return await self._port.hold(
             self._tenure.epoch,
-            self._acked_through,
+            acked_through,
             deadline_ms,
             self._settings.hold_wait_s if is_calm and may_order else 0,
         )
@@ -232,6 +240,7 @@
             self._note_birth(reply)
         self._clock_ms = reply.clock_ms
         self._clock_read_s = now_s
+        self._has_listed_ends = bool(reply.ended)
         if self._is_silent:
             log_event('worker_answers', worker=self.worker_id)
         self._is_silent = False
@@ -242,6 +251,8 @@
         if self.is_adopted:
             self._note_ends(reply, is_new)
             if is_new:
+                if not _is_whole(reply):
+                    self._adopt_held()
                 self._board.settle_worker(self.worker_id)
             self._compare(reply, sent_at_s)
         # Only now: a session that always fails keeps the worker released.
@@ -273,6 +284,12 @@
             ended=len(reply.ended),
         )
 
+    def _adopt_held(self) -> None:
+        """Take over runs of earlier owners that the lists may not show."""
+        for progress in self._board.open_jobs.values():
+            for hidden in progress.held_runs(self.worker_id):
+                self._board.adopt(self.worker_id, hidden)
+
     def _note_ends(self, reply: HoldReply, is_new: bool) -> None:
         for ended in reply.ended:
             if ended.number > self._noted_through:
@@ -293,7 +310,7 @@
             if found_run is not None and found_run.checkpoint:
                 task = run.stage.tasks[run.task.index]
                 task.checkpoint = found_run.checkpoint
-        if reply.is_partial or len(reply.ended) >= _FULL_LIST:
+        if not _is_whole(reply):
             return
         for run in tuple(room.running()):
             is_listed = (run.task, run.attempt) in listed
@@ -378,7 +395,10 @@
 
     def _may_start(self, run: Run, now_s: float) -> bool:
         is_wanted = run.phase is RunPhase.STARTING
-        may_order = self._releases.may_order(self.worker_id)
+        # The deadline is a reading of the clock of a known life.
+        may_order = not self._is_silent and self._releases.may_order(
+            self.worker_id,
+        )
         return is_wanted and may_order and self._tenure.may_start(now_s)
 
     def _give_up(self, run: Run, is_unsure: bool) -> None:
@@ -479,3 +499,8 @@
             elif run is not None:
                 run.settled_at_s = self._clock.now_s()
             return
+
+
+def _is_whole(reply: HoldReply) -> bool:
+    """Tell whether the lists show all runs and all ends of a worker."""
+    return not reply.is_partial and len(reply.ended) < _FULL_LIST
