--- a/packages/currantreach-daemon/tests/test_http.py
+++ b/packages/currantreach-daemon/tests/test_http.py
@@ -406,7 +406,7 @@
     path = f'/v1/requests/{ID}/answer'
     asked = asyncio.create_task(site.call('GET', path, 'tine', {}))
     await asyncio.sleep(0.2)
-    guard.sweep()
+    await guard.sweep()
     may_end.set()
     _status, answer = await asked
     assert answer['state'] == 'accepted'
