Take a try that is under way for unsure in the soak

The checker looked at the tries that had ended only.

A try counts as unsure until it is answered, and the check is made again when a later try is refused, which the old one left out.

--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -89,14 +89,16 @@
     async def _one(self):
         job = self.world.jobs[self._new_job()]
         for _ in range(_TRIES):
+            # The job may start before the answer arrives.
+            job.unsure += 1
             status, _ = await self._call('POST', job)
             if status == 200:
                 job.is_accepted = True
                 break
             if status in {429, 503}:
+                job.unsure -= 1
                 job.refusals += 1
-            else:
-                job.unsure += 1
+                self.world.check_refusals(job)
             await asyncio.sleep(_PAUSE_S)
         if job.is_accepted and self.random.random() < _REPEAT_PART:
             await self._call('POST', job)
--- a/tests/soak/_world.py
+++ b/tests/soak/_world.py
@@ -17,7 +17,9 @@
     """A job as its caller knows it.
 
     :ivar refusals: attempts that were answered "not run".
-    :ivar unsure: attempts without an answer that says what happened.
+    :ivar unsure: attempts without an answer that says what happened, and
+        those that are under way.
+    :ivar has_started: whether a task of it was started.
     """
 
     job_id: str
@@ -26,6 +28,7 @@
     is_accepted: bool = False
     refusals: int = 0
     unsure: int = 0
+    has_started: bool = False
     is_cancelling: bool = False
     cancelled_at_s: float = 0
     shown: str = ''
@@ -74,6 +77,14 @@
         """Note a broken promise."""
         self.broken.append(f'{rule}: {text}')
 
+    def check_refusals(self, job):
+        """Check that no job was started of which all tries were refused."""
+        if not job.has_started or job.is_accepted or job.unsure:
+            return
+        if job.refusals:
+            text = f'{job.job_id} started, all tries were refused'
+            self.breach('refused', text)
+
     def step_of(self, task):
         """Return the step of a task, or nothing if nobody submitted it."""
         job = self.jobs.get(task[0])
@@ -94,8 +105,8 @@
                 self.breach('twice', f'{task} runs on two workers')
         if task in self.settled:
             self.breach('twice', f'{task} started after its end was noted')
-        if job.refusals and not job.is_accepted and not job.unsure:
-            self.breach('refused', f'{task} started, all tries were refused')
+        job.has_started = True
+        self.check_refusals(job)
         for early in step.get('after', ()):
             for index in range(job.steps[early]['count']):
                 if (task[0], task[1], early, index) not in self.done:
--- a/tests/soak/test_world.py
+++ b/tests/soak/test_world.py
@@ -107,6 +107,19 @@
     assert rules(world)[-1] == 'refused'
 
 
+def test_start_before_the_answer_is_no_untrue_refusal(world):
+    """A try that was still under way was taken for a refused one."""
+    job = world.jobs[JOB]
+    job.is_accepted = False
+    job.refusals = 1
+    job.unsure = 1
+    start(world, FIRST)
+    assert not rules(world)
+    job.unsure = 0
+    world.check_refusals(job)
+    assert rules(world) == ['refused']
+
+
 def test_finds_what_nobody_asked_for(world):
     """A task of an unknown job, or with another payload."""
     assert start(world, ('b' * 16, 0, 0, 0)) is None
