Start nothing before the configuration is known

Cause: a daemon that had just started took the lead 0.18 s before it had read the configuration (leadership_acquired at 45.498, config_in_force at 45.683), and without it no team has a limit. It started nine tasks of the team meanwhile.

Change: a leader without a configuration recovers and holds the workers, and starts nothing; waiting stages show no_configuration. What ends the wait is the follower of the configuration, which asks the store again after each error.

The test failed before (eight starts where none is allowed) and passes; 256 tests of the package pass.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_master.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_master.py
@@ -225,6 +225,8 @@
 
     def _gate(self) -> Obstacle | None:
         """Return what keeps all runs from being ordered soon, if any."""
+        if self._outside.source.config is None:
+            return Obstacle.NO_CONFIGURATION
         if self._committer.lag_s() > _MOST_LAG_S:
             return Obstacle.RECORDS_UNWRITTEN
         if self.tenure.may_start(self._clock.now_s()):
--- a/packages/currantreach-jobs/src/currantreach_jobs/_obstacles.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_obstacles.py
@@ -22,6 +22,8 @@
     :cvar RECORDS_UNWRITTEN: nothing is started before the store has the
         records of other starts.
     :cvar RECORD_REJECTED: the store has rejected the record of the job.
+    :cvar NO_CONFIGURATION: nothing is started before the limits of the teams
+        are known.
     :cvar NO_LEASE: nothing is started while the leader's lease is not sure.
     """
 
@@ -36,4 +38,5 @@
     NO_ROOM = 'no_room'
     RECORDS_UNWRITTEN = 'records_unwritten'
     RECORD_REJECTED = 'record_rejected'
+    NO_CONFIGURATION = 'no_configuration'
     NO_LEASE = 'no_lease'
--- a/packages/currantreach-jobs/tests/test_takeovers.py
+++ b/packages/currantreach-jobs/tests/test_takeovers.py
@@ -7,7 +7,7 @@
 import attrs
 import pytest
 
-from currantreach_jobs import JobSettings, Outcome
+from currantreach_jobs import JobSettings, Outcome, Team
 from currantreach_jobs._records import (
     Place,
     ProgressRecord,
@@ -335,3 +335,28 @@
         await wait_until(lambda: third.master and third.master.is_ready, 1)
 
     play(scenario)
+
+
+def test_leader_without_a_configuration_starts_nothing(play, job, wait_until):
+    """A restarted daemon led before it had read the limits of the teams.
+
+    It started nine tasks of a team at once, beyond the team's limit.
+    """
+
+    async def scenario(fleet, site):
+        fleet.add('w1')
+        fleet.work_s = 2
+        limited = Team(name='orchard', limit=Resources(cpu_milli=2000))
+        config = attrs.evolve(fleet.known_config, teams={'orchard': limited})
+        fleet.known_config = None
+        host = site.start('a')
+        await wait_until(lambda: host.master and host.master.is_ready)
+        await host.intake.submit(job('f' * 16, count=8))
+        await asyncio.sleep(1)
+        assert not fleet.starts
+        fleet.known_config = config
+        await wait_until(lambda: fleet.starts, 1)
+        assert len(fleet.starts) == 2
+        await wait_until(lambda: len(fleet.done) == 8)
+
+    play(scenario)
