--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,7 +9,9 @@
 from tests.soak._site import play_seed
 
 # Seeds that once found a fault are kept here, with a line on the cause.
-SEEDS = (1,)
+# 74: a daemon led before it had read the limits of the teams.
+SEEDS = (1, 74)
+# 1: requests were cut while their daemon stopped, and it took the lead.
 PLANNED_SEEDS = (1,)
 SECONDS = 8
 
