Read every outside field within bounds

What users saw, by test: one odd entry under the list of workers, such as a list as its state or a number with 320 zeros, ended the reader of the list. The leader took that for the failure of one of its parts and gave up, and so did its successors. Ports out of range, odd amounts and nested labels made an entry a worker that nothing can reach. A job with a number beyond 64 bits failed only when it was stored, a task index of -1 named the last task of a step, and infinities in the settings file ended the process without a named field.

Cause: each decoder listed the errors that somebody had thought of, three different lists, none with OverflowError, and most values had no bounds.

Change: Fields reads integers, numbers, texts, lists, addresses and resources with a type and within bounds, and raises MalformedMessageError for anything else. All decoders of the adapter use it. A malformed item of the store affects its own key only. Warnings about odd input quote at most 60 characters and are logged once for each subject and cause. A refused job body names its field.

--- a/packages/currantreach-telemetry/src/currantreach_telemetry/__init__.py
+++ b/packages/currantreach-telemetry/src/currantreach_telemetry/__init__.py
@@ -10,10 +10,12 @@
 )
 from currantreach_telemetry._metrics import Metrics
 from currantreach_telemetry._output import NonBlockingOutput
+from currantreach_telemetry._repeats import RepeatedWarnings
 
 __all__ = (
     'Metrics',
     'NonBlockingOutput',
+    'RepeatedWarnings',
     'configure_logging',
     'log_debug',
     'log_event',
