Keep records, peers and their addresses within bounds

Cause: a decoded record had its types checked, not its numbers. A job with 2^40 tasks exhausted the memory of each leader that read it, an attempt number at the limit of 64 bits could not be counted up and stored, a member with a delay of minus infinity made each leader resign, an infinite wait from a peer ended the answer to a caller, and a member with an invalid address raised an error that no caller of a link expects, which ended the part that follows the cell and with it the process.

Change: check_job and decode_progress bound the stored records and the jobs of peers, validators bound the times in members, releases and messages, a link to an invalid address reports that nothing was sent, and a job whose record cannot be applied is set aside whatever the error.

--- a/packages/currantreach-jobs/src/currantreach_jobs/__init__.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/__init__.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+from currantreach_jobs._bounds import (
+    MAX_OCCURRENCES,
+    MAX_STEPS,
+    MAX_TASKS,
+)
 from currantreach_jobs._clients import (
     AdviceClient,
     ConfigSource,
@@ -37,6 +42,9 @@
 )
 
 __all__ = (
+    'MAX_OCCURRENCES',
+    'MAX_STEPS',
+    'MAX_TASKS',
     'AdviceClient',
     'AdviceConfig',
     'CallerResponse',
--- a/packages/currantreach-jobs/src/currantreach_jobs/_daemon.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_daemon.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from currantreach_jobs._advice import AdviceService
+from currantreach_jobs._bounds import check_job
 from currantreach_jobs._coordinator import Coordinator, load_shared_secret
 from currantreach_jobs._job_queries import JobQueries
 from currantreach_jobs._job_scheduler import JobScheduler
@@ -241,7 +242,7 @@
 
     async def _on_announce(self, body: bytes) -> bytes:
         request = decode_msgpack(body, SubmitRequest)
-        self.submissions.accept_announced_job(request.job)
+        self.submissions.accept_announced_job(check_job(request.job))
         return encode_msgpack(AnnounceReply())
 
     async def _on_cell(self, _: bytes) -> bytes:
@@ -252,7 +253,7 @@
 
     async def _on_submit(self, body: bytes) -> bytes:
         request = decode_msgpack(body, SubmitRequest)
-        response = await self.submissions.submit_locally(request.job)
+        response = await self.submissions.submit_locally(check_job(request.job))
         return encode_msgpack(build_forward_reply(response))
 
     async def _on_cancel(self, body: bytes) -> bytes:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_messages.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_messages.py
@@ -4,7 +4,8 @@
 
 import attrs
 
-from currantreach_jobs._model import Job
+from currantreach_jobs._bounds import amount
+from currantreach_jobs._model import Job, JobState
 from currantreach_jobs._records import LeaderRecord
 
 __all__ = (
@@ -39,7 +40,9 @@
     """
 
     is_deciding: bool = False
-    state: str = ''
+    state: str = attrs.field(
+        default='', validator=attrs.validators.in_(('', *JobState))
+    )
     queue: str = ''
     team: str = ''
 
@@ -52,9 +55,9 @@
     """
 
     is_deciding: bool = False
-    urgent_wait_s: float = 0
-    share_wait_s: float = 0
-    wait_s: float = 0
+    urgent_wait_s: float = attrs.field(default=0, validator=amount)
+    share_wait_s: float = attrs.field(default=0, validator=amount)
+    wait_s: float = attrs.field(default=0, validator=amount)
     ahead_teams: tuple[str, ...] = ()
 
 
@@ -84,7 +87,7 @@
     occurrence: int
     step: int
     worker_ids: tuple[str, ...]
-    timeout_s: float
+    timeout_s: float = attrs.field(validator=amount)
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -126,7 +129,7 @@
     """
 
     outcome: str
-    retry_after_s: float = 0
+    retry_after_s: float = attrs.field(default=0, validator=amount)
 
 
 @attrs.frozen(slots=True, kw_only=True)
--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -398,7 +398,8 @@
                 self.create_stages()
             if record is not None:
                 self._apply_record(record)
-        except (LookupError, TypeError, ValueError) as error:
+        except Exception as error:
+            # Whatever the error, only this job is set aside.
             raise MalformedMessageError(
                 f'{error!r}; correct the records of job {self.job.job_id}',
             ) from error
--- a/packages/currantreach-jobs/src/currantreach_jobs/_records.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_records.py
@@ -6,6 +6,12 @@
 
 import attrs
 
+from currantreach_jobs._bounds import (
+    amount,
+    check_attempts,
+    check_job,
+    check_times,
+)
 from currantreach_jobs._model import Job, JobState, WorkerReport
 from currantreach_types import decode_msgpack, encode_msgpack
 
@@ -79,7 +85,7 @@
     """
 
     address: str
-    campaign_delay_s: float = 0
+    campaign_delay_s: float = attrs.field(default=0, validator=amount)
     failure_domain: str = ''
 
 
@@ -107,8 +113,8 @@
     """
 
     release_id: str
-    remaining_ms: int
-    silent_ms: int = 0
+    remaining_ms: int = attrs.field(validator=amount)
+    silent_ms: int = attrs.field(default=0, validator=amount)
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -193,7 +199,7 @@
 
     :raises MalformedMessageError: if the stored bytes are no valid job.
     """
-    return decode_msgpack(stored, Job)
+    return check_job(decode_msgpack(stored, Job))
 
 
 def decode_progress(stored: bytes) -> ProgressRecord:
@@ -201,4 +207,9 @@
 
     :raises MalformedMessageError: if the stored bytes are no valid record.
     """
-    return decode_msgpack(stored, ProgressRecord)
+    record = decode_msgpack(stored, ProgressRecord)
+    check_times((record.ended_unix_ms,), 'the end of the job')
+    for stage in record.stages.values():
+        check_attempts(stage.failures.values())
+        check_attempts(placed.attempt for placed in stage.placed.values())
+    return record
--- a/packages/currantreach-jobs/src/currantreach_jobs/_submissions.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_submissions.py
@@ -23,7 +23,7 @@
     job_key,
 )
 from currantreach_links import NotSentError
-from currantreach_telemetry import log_event
+from currantreach_telemetry import log_event, log_warning
 from currantreach_types import unix_now_ms
 from currantreach_types.errors import (
     CurrantreachError,
@@ -81,6 +81,9 @@
     UNKNOWN = 'unknown'
 
 
+_OUTCOMES = frozenset(outcome.value for outcome in Outcome)
+
+
 @attrs.frozen(slots=True, kw_only=True)
 class CallerResponse:
     """Response to a caller.
@@ -393,7 +396,7 @@
                 response = CallerResponse(outcome=Outcome.UNKNOWN)
                 continue
             forwarded = CallerResponse(
-                outcome=Outcome(reply.outcome),
+                outcome=_forwarded_outcome(reply),
                 retry_after_s=reply.retry_after_s,
             )
             if forwarded.outcome is Outcome.UNKNOWN:
@@ -456,6 +459,14 @@
         )
 
 
+def _forwarded_outcome(reply: ForwardReply) -> Outcome:
+    """Return the outcome of a forwarded call, unknown if it is unreadable."""
+    if reply.outcome in _OUTCOMES:
+        return Outcome(reply.outcome)
+    log_warning('outcome_unreadable', outcome=reply.outcome)
+    return Outcome.UNKNOWN
+
+
 def _stored_job(found: KeyValue) -> Job:
     """Return a stored job.
 
--- a/packages/currantreach-links/src/currantreach_links/_connection.py
+++ b/packages/currantreach-links/src/currantreach_links/_connection.py
@@ -8,6 +8,7 @@
 import zmq
 from zmq import asyncio as async_zmq
 
+from currantreach_links._errors import NotSentError
 from currantreach_links._frames import MAX_FRAME_BYTES
 
 if TYPE_CHECKING:
@@ -33,6 +34,7 @@
 
         :param connect_timeout_s: time limit for each connection attempt.
         :param on_frame: called with each received frame.
+        :raises NotSentError: if the address is invalid.
         """
         timeout_ms = max(1, int(connect_timeout_s * 1000))
         socket = async_zmq.Context.instance().socket(zmq.DEALER)
@@ -46,7 +48,13 @@
         socket.handshake_ivl = timeout_ms
         socket.reconnect_ivl = _RECONNECT_MS
         socket.reconnect_ivl_max = _MAX_RECONNECT_MS
-        socket.connect(address)
+        try:
+            socket.connect(address)
+        except zmq.ZMQError as error:
+            socket.close()
+            raise NotSentError(
+                f'{address!r} is no address of a peer: {error}; correct it'
+            ) from error
         self._socket = socket
         self._receive_task = asyncio.create_task(self._receive(on_frame))
 
--- a/packages/currantreach-links/tests/test_links.py
+++ b/packages/currantreach-links/tests/test_links.py
@@ -237,3 +237,12 @@
     assert await link.call('echo', 'fresh', str, 5) == 'fresh'
     await server.close()
     assert handled == [encode_msgpack('fresh')]
+
+
+async def test_call_to_an_odd_address_is_not_sent():
+    """An odd address in the record of a member ended the caller's task."""
+    for address in ('', 'nowhere', 'tcp://127.0.0.1:99999', 'tcp://[::1'):
+        link = PeerLink('odd', address, b's' * 32)
+        with pytest.raises(NotSentError):
+            await link.call('method', None, dict, 0.1)
+        await link.close()
