Run a failed part of a daemon again instead of giving up

Cause: a part that ended by an unforeseen error was taken for the end of the leader, and a part of the daemon for the end of the process. The next leader read the same input, so one odd entry stood still the whole cell.

The leadership ends only when its lease or its fence says so. An error for one stage pauses that stage, one in a round is logged and the next round follows, and a job that cannot be added is set aside. Writes that are cut short answer their callers, the committer keeps its transactions in flight, and the watcher reads all jobs again. A stored secret of another length is replaced.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_committer.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_committer.py
@@ -195,15 +195,16 @@
 
     async def run(self) -> None:
         """Write changes until the leadership ends."""
-        try:
-            while not self._leadership.is_over:
-                self._wake.clear()
-                self._send_batches()
-                await self._wait_for_work()
-        finally:
-            self._is_closed = True
-            for commit in self._commits:
-                commit.cancel()
+        while not self._leadership.is_over:
+            self._wake.clear()
+            self._send_batches()
+            await self._wait_for_work()
+
+    def close(self) -> None:
+        """Cancel the transactions in flight."""
+        self._is_closed = True
+        for commit in self._commits:
+            commit.cancel()
 
     async def _wait_for_work(self) -> None:
         """Wait for a change, a finished transaction or the group delay."""
--- a/packages/currantreach-jobs/src/currantreach_jobs/_coordinator.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_coordinator.py
@@ -64,23 +64,28 @@
     """
     while True:
         try:
-            found = await store.get(SECRET_KEY)
-            if found is not None:
-                return found.stored
-            await store.commit(
-                {SECRET_KEY: 0},
-                [
-                    Write(
-                        key=SECRET_KEY,
-                        stored=secrets.token_bytes(_SECRET_BYTES),
-                    ),
-                ],
-            )
+            secret = await _read_or_create_secret(store)
         except TransactionConflictError:
             continue
         except PlatformError as error:
             log_event('secret_read_failed', error=error)
             await asyncio.sleep(_RETRY_S)
+            continue
+        if secret:
+            return secret
+
+
+async def _read_or_create_secret(store: TransactionalStore) -> bytes:
+    """Return the stored secret, or nothing after a write of a new one."""
+    found = await store.get(SECRET_KEY)
+    if found is not None and len(found.stored) == _SECRET_BYTES:
+        return found.stored
+    if found is not None:
+        # No daemon can use it, so it is replaced.
+        log_warning('secret_unreadable', length=len(found.stored))
+    created = Write(key=SECRET_KEY, stored=secrets.token_bytes(_SECRET_BYTES))
+    await store.commit({SECRET_KEY: found.revision if found else 0}, [created])
+    return b''
 
 
 class Coordinator:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_daemon.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_daemon.py
@@ -26,14 +26,14 @@
     SubmissionService,
     build_forward_reply,
 )
-from currantreach_jobs._supervision import failure_of
+from currantreach_jobs._supervision import keep_running
 from currantreach_links import Handler, PeerServer
-from currantreach_telemetry import log_event, log_warning
+from currantreach_telemetry import log_event
 from currantreach_types import decode_msgpack, encode_msgpack
 from currantreach_types.errors import CurrantreachError
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Callable, Coroutine
 
     from currantreach_jobs._clients import DaemonDependencies
     from currantreach_jobs._model import SiteConfig
@@ -143,25 +143,25 @@
     async def run(self) -> None:
         """Serve until the task is cancelled."""
         dependencies = self._dependencies
-        config_task = asyncio.create_task(dependencies.source.follow())
+        config_task = self._start_part('config', dependencies.source.follow)
         secret = await load_shared_secret(dependencies.store)
         self._links.secret = secret
         server = PeerServer(self._link_address, secret, self._handlers())
         await server.start()
         self._is_serving = True
         log_event('daemon_started', daemon=self.daemon_id)
-        coroutines: list[Coroutine[object, object, None]] = [
-            self._coordinator.follow(),
-            self._coordinator.maintain_membership(),
-            self._key_writer.run(),
-            self.submissions.follow_load(),
-            self._lead(),
-            self._close_stale_links(),
-        ]
+        parts = {
+            'cell': self._coordinator.follow,
+            'membership': self._coordinator.maintain_membership,
+            'key_writer': self._key_writer.run,
+            'load': self.submissions.follow_load,
+            'leadership': self._lead,
+            'links': self._close_stale_links,
+        }
         tasks = [config_task]
-        tasks.extend(asyncio.create_task(coroutine) for coroutine in coroutines)
+        tasks.extend(self._start_part(name, run) for name, run in parts.items())
         try:
-            await self._supervise(tasks)
+            await asyncio.wait(tasks)
         finally:
             await self._close(tasks, server)
 
@@ -187,21 +187,14 @@
         await self._dependencies.advice.close()
         await self._dependencies.store.close()
 
-    async def _supervise(self, tasks: list[asyncio.Task[None]]) -> None:
-        """Raise an error once a task fails; tasks may finish without one."""
-        pending = set(tasks)
-        while pending:
-            done, pending = await asyncio.wait(
-                pending,
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            for task in done:
-                failure = failure_of(task)
-                if failure is not None:
-                    log_warning('part_failed', error=repr(failure))
-                    raise RuntimeError(
-                        'a background task of the daemon failed'
-                    ) from failure
+    def _start_part(
+        self,
+        name: str,
+        run: Callable[[], Coroutine[object, object, None]],
+    ) -> asyncio.Task[None]:
+        return asyncio.create_task(
+            keep_running(name, run, self._dependencies.metrics.record_retry)
+        )
 
     async def _lead(self) -> None:
         dependencies = self._dependencies
@@ -216,8 +209,10 @@
                 self._settings,
                 self._clock,
             )
-            await self.scheduler.run()
-            self.scheduler = None
+            try:
+                await self.scheduler.run()
+            finally:
+                self.scheduler = None
 
     async def _close_stale_links(self) -> None:
         while True:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -19,7 +19,7 @@
 )
 from currantreach_jobs._priority_boost import PriorityBoost
 from currantreach_jobs._wait_reasons import WaitReason
-from currantreach_telemetry import log_event
+from currantreach_telemetry import log_event, log_warning
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -48,6 +48,8 @@
 # A ticket that stays valid for less than this after an advice call would
 # expire before the start it is used for.
 _CALL_MARGIN_S = 0.3
+# Pause of a stage that cannot be scheduled because of an error.
+_FAILED_STAGE_PAUSE_S = 1
 
 
 class StageScheduler:
@@ -113,9 +115,21 @@
         self._metrics.record_decision_round(self._clock.now_s() - now_s)
 
     def _schedule_stage(self, stage: Stage, now_s: float) -> None:
-        wait_reason = self._precheck(stage, now_s)
-        if wait_reason is None:
-            wait_reason = self._place(stage, now_s)
+        try:
+            wait_reason = self._precheck(stage, now_s)
+            if wait_reason is None:
+                wait_reason = self._place(stage, now_s)
+        except Exception as error:
+            # The stages behind it are still scheduled.
+            wait_reason = WaitReason.PAUSED
+            stage.retry_at_s = now_s + _FAILED_STAGE_PAUSE_S
+            self._metrics.record_retry('stage_failed')
+            log_warning(
+                'stage_failed',
+                job=stage.job_progress.job.job_id,
+                step=stage.step_number,
+                error=repr(error),
+            )
         stage.wait_reason = wait_reason or stage.wait_reason
 
     def _precheck(self, stage: Stage, now_s: float) -> WaitReason | None:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_job_scheduler.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_job_scheduler.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 from typing import TYPE_CHECKING
 
 from currantreach_jobs._advice import AdviceDispatcher
@@ -22,7 +23,7 @@
     progress_key,
 )
 from currantreach_jobs._releases import WorkerReleases
-from currantreach_jobs._supervision import failure_of
+from currantreach_jobs._supervision import failure_of, keep_running
 from currantreach_jobs._wait_monitor import WaitMonitor, count_workers
 from currantreach_jobs._wait_reasons import WaitReason
 from currantreach_jobs._worker_session import WorkerSession
@@ -36,7 +37,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Callable, Coroutine, Sequence
 
     from currantreach_jobs._advice import AdviceService
     from currantreach_jobs._clients import DaemonDependencies
@@ -149,14 +150,16 @@
 
     async def run(self) -> None:
         """Recover the jobs and schedule them until the leadership ends."""
-        renewing = asyncio.create_task(
-            self._coordinator.maintain_lease(self.leadership)
-        )
-        # Releases of silent workers are written while the jobs are read.
-        releasing = asyncio.create_task(self._releases.run())
-        background = [renewing, releasing]
-        for task in background:
-            task.add_done_callback(self._end_on_task_failure)
+        background = [
+            self._start_part(
+                'lease',
+                functools.partial(
+                    self._coordinator.maintain_lease, self.leadership
+                ),
+            ),
+            # Releases of silent workers are written while the jobs are read.
+            self._start_part('releases', self._releases.run),
+        ]
         try:
             await self._recover_and_schedule()
         finally:
@@ -204,33 +207,43 @@
         watcher = JobWatcher(
             self._store, self.add_accepted_job, self.cluster.cancel
         )
-        coroutines: list[Coroutine[object, object, None]] = [
-            self._committer.run(),
-            watcher.follow(revision),
-            self._dependencies.directory.follow(),
-            self._follow_directory(),
-            self._remove_expired_jobs(),
-            self._yield_to_better_candidate(),
-        ]
-        tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
+        watcher.begin_after(revision)
+        parts = {
+            'committer': self._committer.run,
+            'jobs': watcher.follow,
+            'directory': self._dependencies.directory.follow,
+            'workers': self._follow_directory,
+            'cleanup': self._remove_expired_jobs,
+            'candidates': self._yield_to_better_candidate,
+        }
+        tasks = [self._start_part(name, run) for name, run in parts.items()]
         try:
-            await self._schedule_until_over(tasks)
+            await self._schedule_until_over()
         finally:
             self.is_ready = False
             await _cancel_all(tasks)
 
-    async def _schedule_until_over(
+    def _start_part(
         self,
-        tasks: list[asyncio.Task[None]],
-    ) -> None:
+        name: str,
+        run: Callable[[], Coroutine[object, object, None]],
+    ) -> asyncio.Task[None]:
+        return asyncio.create_task(
+            keep_running(name, run, self.cluster.count_retry)
+        )
+
+    async def _schedule_until_over(self) -> None:
         self.is_ready = True
-        while not self._is_over(tasks):
+        while not self._is_over():
             started_at_s = self._clock.now_s()
-            wait_reason = self._global_wait_reason()
-            if wait_reason is None:
-                self._stage_scheduler.schedule()
-            self.wait_monitor.log_waits(wait_reason)
-            self._send_stops()
+            try:
+                self._run_round()
+            except Exception as error:
+                # The leases of the workers are still renewed, and the next
+                # leader would read the same jobs.
+                self.cluster.count_retry('round_failed')
+                log_warning('round_failed', error=repr(error))
+                await asyncio.sleep(_MAX_ROUND_S)
             elapsed_s = self._clock.now_s() - started_at_s
             await asyncio.sleep(max(_MIN_ROUND_S, _IDLE_FACTOR * elapsed_s))
             with contextlib.suppress(TimeoutError):
@@ -238,6 +251,13 @@
                     await self._wake.wait()
             self._wake.clear()
 
+    def _run_round(self) -> None:
+        wait_reason = self._global_wait_reason()
+        if wait_reason is None:
+            self._stage_scheduler.schedule()
+        self.wait_monitor.log_waits(wait_reason)
+        self._send_stops()
+
     def _global_wait_reason(self) -> WaitReason | None:
         """Return what prevents the start of any run at present, if anything."""
         if self._dependencies.source.config is None:
@@ -248,11 +268,7 @@
             return None
         return WaitReason.NO_LEASE
 
-    def _is_over(self, tasks: list[asyncio.Task[None]]) -> bool:
-        for task in tasks:
-            if task.done() and not self.leadership.is_over:
-                log_warning('part_failed', error=repr(failure_of(task)))
-                return True
+    def _is_over(self) -> bool:
         now_s = self._clock.now_s()
         grace_s = self._settings.lease_grace_s
         return not self.leadership.can_extend_leases(now_s, grace_s)
@@ -303,7 +319,8 @@
         """Add a job, or quarantine it if its record does not match it."""
         try:
             self.cluster.add_job(job, record, attempt_base, weight)
-        except MalformedMessageError as error:
+        except Exception as error:
+            # Whatever the error, the next leader would meet it again.
             log_warning('job_unusable', job=job.job_id, error=error)
             _quarantine(self.cluster, job.job_id, job)
 
@@ -515,16 +532,9 @@
         self.cluster.jobs.pop(job_id, None)
         self._committer.discard(job_id)
 
-    def _end_on_task_failure(self, task: asyncio.Task[None]) -> None:
-        if self.leadership.is_over:
-            return
-        failure = failure_of(task)
-        if failure is not None:
-            log_warning('part_failed', error=repr(failure))
-            self.leadership.is_over = True
-
     async def _close(self, background: list[asyncio.Task[None]]) -> None:
         await _cancel_all([*background, *self._session_tasks.values()])
+        self._committer.close()
         await asyncio.gather(
             *(session.close() for session in self._sessions.values()),
             return_exceptions=True,
@@ -532,7 +542,7 @@
         await self._advice_dispatcher.close()
 
 
-async def _cancel_all(tasks: list[asyncio.Task[None]]) -> None:
+async def _cancel_all(tasks: Sequence[asyncio.Task[None]]) -> None:
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
--- a/packages/currantreach-jobs/src/currantreach_jobs/_job_watcher.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_job_watcher.py
@@ -128,15 +128,22 @@
         self._store = store
         self._add_job = add_job
         self._cancel = cancel
+        self._revision = 0
 
-    async def follow(self, revision: int) -> None:
-        """Watch the jobs from a revision on."""
+    def begin_after(self, revision: int) -> None:
+        """Watch for changes after a revision, up to which all are known."""
+        self._revision = revision
+
+    async def follow(self) -> None:
+        """Watch the jobs; read all of them after a failure."""
         while True:
+            revision = self._revision
+            # Until the changes are applied, it is not known which are missed.
+            self._revision = 0
             try:
-                revision = await self._read_changes(revision)
+                self._revision = await self._read_changes(revision)
             except PlatformError as error:
                 log_event('jobs_read_failed', error=error)
-                revision = 0
                 await asyncio.sleep(_RETRY_S)
 
     async def _read_changes(self, revision: int) -> int:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_key_writer.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_key_writer.py
@@ -17,6 +17,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from currantreach_platform import TransactionalStore
 
 __all__ = ('KeyWriter',)
@@ -54,7 +56,11 @@
                 size = self._store.max_entries // 2
                 batch = self._pending[:size]
                 self._pending = self._pending[size:]
-                await self._write(batch)
+                try:
+                    await self._write(batch)
+                except Exception:
+                    _abandon(batch)
+                    raise
 
     async def create(self, key: str, stored: bytes) -> bool:
         """Create a key; return false if it existed before.
@@ -129,6 +135,15 @@
         return failure
 
 
+def _abandon(batch: Sequence[_PendingWrite]) -> None:
+    """Fail the writes of a batch that has ended without their outcome."""
+    for pending in batch:
+        if not pending.outcome.done():
+            pending.outcome.set_exception(
+                OutcomeUnknownError('the write was cut short; query the job'),
+            )
+
+
 def _resolve(pending: _PendingWrite, is_new: bool) -> None:
     if not pending.outcome.done():
         pending.outcome.set_result(is_new)
