Take an unreadable record for an answer about itself only

Callers of all teams were refused for 0.5 s after one caller had asked for a job whose record cannot be read. Cause: the outcome of such a call was unknown like that of a silent store, so the daemon stopped using the store, forwarded the call and took itself for isolated.

The response now says that one record is unreadable. Such an outcome leaves the state of the store alone and is not forwarded, and a peer passes it on.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_messages.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_messages.py
@@ -126,10 +126,13 @@
     """Outcome of a forwarded call.
 
     :ivar outcome: value of an :class:`~currantreach_jobs.Outcome`.
+    :ivar is_record_unreadable: whether it is unknown because of one unreadable
+        record.
     """
 
     outcome: str
     retry_after_s: float = attrs.field(default=0, validator=amount)
+    is_record_unreadable: bool = False
 
 
 @attrs.frozen(slots=True, kw_only=True)
--- a/packages/currantreach-jobs/src/currantreach_jobs/_submissions.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_submissions.py
@@ -28,7 +28,6 @@
 from currantreach_types.errors import (
     CurrantreachError,
     MalformedMessageError,
-    OutcomeUnknownError,
     PlatformError,
     StoreUnavailableError,
 )
@@ -41,7 +40,7 @@
     from currantreach_jobs._key_writer import KeyWriter
     from currantreach_jobs._links import Links
     from currantreach_jobs._model import Job, SiteConfig
-    from currantreach_platform import KeyValue, TransactionalStore
+    from currantreach_platform import TransactionalStore
     from currantreach_types import Clock
 
 __all__ = (
@@ -90,10 +89,13 @@
 
     :ivar retry_after_s: time after which the same call may succeed, 0 if
         never.
+    :ivar is_record_unreadable: whether the outcome is unknown because of one
+        unreadable record, which says nothing about the store.
     """
 
     outcome: Outcome
     retry_after_s: float = 0
+    is_record_unreadable: bool = False
 
 
 _UNAVAILABLE = CallerResponse(
@@ -102,11 +104,15 @@
 )
 
 
+_UNREADABLE = CallerResponse(outcome=Outcome.UNKNOWN, is_record_unreadable=True)
+
+
 def build_forward_reply(response: CallerResponse) -> ForwardReply:
     """Return the message that carries a response to another daemon."""
     return ForwardReply(
         outcome=response.outcome.value,
         retry_after_s=response.retry_after_s,
+        is_record_unreadable=response.is_record_unreadable,
     )
 
 
@@ -197,6 +203,9 @@
         except StoreUnavailableError as error:
             log_event('job_refused', job=job.job_id, error=error)
             return _UNAVAILABLE
+        except MalformedMessageError as unreadable:
+            log_warning('job_unreadable', job=job.job_id, error=unreadable)
+            return _UNREADABLE
         except PlatformError as unknown:
             log_event('job_unknown', job=job.job_id, error=unknown)
             return CallerResponse(outcome=Outcome.UNKNOWN)
@@ -209,13 +218,16 @@
             found = await self._store.get(job_key(job_id))
             if found is None:
                 return CallerResponse(outcome=Outcome.UNKNOWN_JOB)
-            job = _stored_job(found)
+            job = decode_job(found.stored)
             if job.queue.name != queue or job.team != team:
                 return CallerResponse(outcome=Outcome.UNKNOWN_JOB)
             await self._writer.create(cancel_key(job_id), b'')
         except StoreUnavailableError as error:
             log_event('cancel_refused', job=job_id, error=error)
             return _UNAVAILABLE
+        except MalformedMessageError as unreadable:
+            log_warning('job_unreadable', job=job_id, error=unreadable)
+            return _UNREADABLE
         except PlatformError as unknown:
             log_event('cancel_unknown', job=job_id, error=unknown)
             return CallerResponse(outcome=Outcome.UNKNOWN)
@@ -259,6 +271,9 @@
         try:
             if await self._store.get(job_key(job.job_id)) is not None:
                 return await self._reply_to_repeat(job)
+        except MalformedMessageError as unreadable:
+            log_warning('job_unreadable', job=job.job_id, error=unreadable)
+            return _UNREADABLE
         except PlatformError as error:
             log_event('job_unknown', job=job.job_id, error=error)
             return CallerResponse(outcome=Outcome.UNKNOWN)
@@ -350,6 +365,8 @@
 
     def _update_store_health(self, response: CallerResponse) -> bool:
         """Record whether the store has answered; return whether it has not."""
+        if response.is_record_unreadable:
+            return False
         is_failed = response.outcome in {
             Outcome.STORE_UNAVAILABLE,
             Outcome.UNKNOWN,
@@ -398,7 +415,11 @@
             forwarded = CallerResponse(
                 outcome=_forwarded_outcome(reply),
                 retry_after_s=reply.retry_after_s,
+                is_record_unreadable=reply.is_record_unreadable,
             )
+            if forwarded.is_record_unreadable:
+                self._isolated_until_s = 0
+                return forwarded
             if forwarded.outcome is Outcome.UNKNOWN:
                 response = forwarded
             elif forwarded.outcome is not Outcome.STORE_UNAVAILABLE:
@@ -451,7 +472,7 @@
         found = await self._store.get(job_key(job.job_id))
         if found is None:
             raise StoreUnavailableError('the job was removed; submit it again')
-        first = _stored_job(found)
+        first = decode_job(found.stored)
         is_same = first.queue.name == job.queue.name and first.team == job.team
         log_event('job_repeated', job=job.job_id, is_same=is_same)
         return CallerResponse(
@@ -465,15 +486,3 @@
         return Outcome(reply.outcome)
     log_warning('outcome_unreadable', outcome=reply.outcome)
     return Outcome.UNKNOWN
-
-
-def _stored_job(found: KeyValue) -> Job:
-    """Return a stored job.
-
-    :raises OutcomeUnknownError: if the record is unreadable, as nothing is
-        known about the job then.
-    """
-    try:
-        return decode_job(found.stored)
-    except MalformedMessageError as error:
-        raise OutcomeUnknownError(f'{found.key}: {error}') from error
--- a/packages/currantreach-jobs/tests/test_odd_records.py
+++ b/packages/currantreach-jobs/tests/test_odd_records.py
@@ -109,7 +109,9 @@
         async def submit(_):
             await asyncio.sleep(0)
             outcome = types.SimpleNamespace(value='postponed')
-            return types.SimpleNamespace(outcome=outcome, retry_after_s=0)
+            return types.SimpleNamespace(
+                outcome=outcome, retry_after_s=0, is_record_unreadable=False
+            )
 
         first.submissions.submit_locally = submit
         second.store.is_rejected = True
