Hand in the source of random choices of a daemon

The spread of a campaign and the choice of a peer came from the global generator, so that a test in virtual time gave different verdicts from run to run. The coordinator now gets its generator, and each daemon of a test has one that is seeded by its id and the seed of the test.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_coordinator.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_coordinator.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import secrets
 from typing import TYPE_CHECKING
 
@@ -32,6 +31,7 @@
 )
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Awaitable, Callable
 
     from currantreach_jobs._settings import JobSettings
@@ -108,11 +108,13 @@
         store: TransactionalStore,
         settings: JobSettings,
         clock: Clock,
+        rng: random.Random,
     ) -> None:
         """Start with this daemon as the only known member.
 
         :param host_name: host of this daemon; a host runs one daemon at a time.
         :param address: address of the link server of this daemon.
+        :param rng: source of the spread of campaigns and the choice of peers.
         """
         self.daemon_id = daemon_id
         self.host_name = host_name
@@ -129,6 +131,7 @@
         self._store = store
         self._settings = settings
         self._clock = clock
+        self._rng = rng
         self.lease_id = ''
         self._member_records: dict[str, MemberRecord] = {}
         self._changed = asyncio.Event()
@@ -182,7 +185,7 @@
         """Wait until this daemon is elected and return its leadership."""
         while True:
             await self._wait_for_vacancy()
-            spread_s = random.uniform(0, _CAMPAIGN_SPREAD_S)
+            spread_s = self._rng.uniform(0, _CAMPAIGN_SPREAD_S)
             await asyncio.sleep(self._settings.campaign_delay_s + spread_s)
             if self.is_leaving:
                 await asyncio.sleep(_RETRY_S)
@@ -341,7 +344,7 @@
         others = [name for name in self.members if name != self.daemon_id]
         if not others or self.fetch_peer_view is None:
             return
-        name = random.choice(others)
+        name = self._rng.choice(others)
         view = await self.fetch_peer_view(self.members[name])
         if view is None or not view.has_store:
             return
--- a/packages/currantreach-jobs/src/currantreach_jobs/_daemon.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import secrets
 from typing import TYPE_CHECKING
 
@@ -70,10 +71,12 @@
         dependencies: DaemonDependencies,
         settings: JobSettings,
         clock: Clock,
+        rng: random.Random | None = None,
     ) -> None:
         """Create the components; :meth:`run` starts them.
 
         :param link_address: ``tcp://<ip>:<port>`` of the link server.
+        :param rng: source of all random choices, seeded in tests.
         """
         self.daemon_id = f'{host_name}-{secrets.token_hex(_ID_BYTES)}'
         self.scheduler: JobScheduler | None = None
@@ -88,6 +91,7 @@
             dependencies.store,
             settings,
             clock,
+            rng or random.Random(),
         )
         self._links = Links(self._coordinator)
         self._coordinator.fetch_peer_view = self._fetch_peer_view
--- a/packages/currantreach-jobs/tests/conftest.py
+++ b/packages/currantreach-jobs/tests/conftest.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import itertools
+import random
 
 import attrs
 import logbook
@@ -689,6 +690,7 @@
         self.fleet = fleet
         self.daemons = {}
         self.settings = JobSettings()
+        self.seed = 0
         self.numbers = itertools.count(1)
 
     def start(self, name):
@@ -697,7 +699,13 @@
         store = DaemonStore(fleet.store)
         daemon_id = f'{name}-{next(self.numbers)}'
         coordinator = Coordinator(
-            daemon_id, name, name, store, self.settings, fleet.clock
+            daemon_id,
+            name,
+            name,
+            store,
+            self.settings,
+            fleet.clock,
+            random.Random(f'{self.seed}-{daemon_id}'),
         )
         links = FakeLinks(self)
         daemon = FakeDaemon(fleet, coordinator, None, None, [], store)
--- a/packages/currantreach-jobs/tests/test_random_faults.py
+++ b/packages/currantreach-jobs/tests/test_random_faults.py
@@ -102,10 +102,10 @@
 @pytest.mark.parametrize('seed', SEEDS)
 def test_each_job_ends(run_scenario, job, wait_until, advised_queue, seed):
     """Combined faults must not leave jobs waiting until the leader changes."""
-    random.seed(seed)
     chance = random.Random(seed)
 
     async def scenario(fleet, cell):
+        cell.seed = seed
         for number in range(4):
             fleet.add(f'w{number}')
         for name in ('a', 'b', 'c'):
--- a/packages/currantreach-jobs/tests/test_unreadable_fleet_record.py
+++ b/packages/currantreach-jobs/tests/test_unreadable_fleet_record.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 
 import attrs
 import pytest
@@ -29,7 +28,6 @@
     """
 
     async def scenario(fleet, cell):
-        random.seed(0)
         # With this many cores a host campaigns without a delay.
         cell.settings = JobSettings(core_count=2)
         fleet.add('w1', rate=SLOWEST_RATE)
--- a/packages/currantreach-jobs/tests/test_worker_restarts.py
+++ b/packages/currantreach-jobs/tests/test_worker_restarts.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 
 import pytest
 
@@ -25,7 +24,6 @@
     """
 
     async def scenario(fleet, cell):
-        random.seed(0)
         worker = fleet.add('w1')
         daemon = cell.start('a')
         await wait_until(lambda: daemon.scheduler and daemon.scheduler.is_ready)
