Give up a stopped run beside a row that cannot be read

A task whose start got no answer and was not carried out waited for as long as the list of its worker had an unreadable row. Cause: no run is given up while a list is partial, as the row may be that run.

A run whose stop was answered 2 s before the list was asked for is ended by its worker and never starts there again, so it is given up in a partial list as well. A sound run behind the row is not stopped, and nothing changes for a list of ends that is full.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -43,6 +43,8 @@
 _FAILURES_BEFORE_RELEASE = 2
 # A worker lists at most this many ends; a list of this length may be truncated.
 _LIST_LIMIT = 500
+# A stop takes at most 0.9 s on the platform.
+_STOP_SETTLED_S = 2
 _CLOSED_EVENT = 'worker_closed'
 
 
@@ -333,12 +335,10 @@
             if found_run is not None and found_run.checkpoint:
                 task = run.stage.tasks[run.task.index]
                 task.checkpoint = found_run.checkpoint
-        if not _is_complete(reply):
-            return
-        for run in tuple(worker.running()):
-            is_listed = (run.task, run.attempt) in listed
-            if not is_listed and 0 < run.confirmed_at_s < sent_at_s:
-                self._cluster.mark_run_lost(run)
+        for expected in tuple(worker.running()):
+            is_listed = (expected.task, expected.attempt) in listed
+            if not is_listed and _is_gone(expected, reply, sent_at_s):
+                self._cluster.mark_run_lost(expected)
 
     async def _acknowledge_ends(self) -> None:
         """Acknowledge stored ends, so that the worker drops them.
@@ -548,6 +548,21 @@
             return
 
 
+def _is_gone(run: Run, reply: HoldReply, sent_at_s: float) -> bool:
+    """Tell whether a run that a reply does not list is certainly gone.
+
+    An unreadable row may be any run, except one whose stop was answered long
+    enough ago: the worker has ended that run and starts it no more.
+    """
+    if not run.confirmed_at_s:
+        return False
+    if _is_complete(reply):
+        return run.confirmed_at_s < sent_at_s
+    if run.phase is not RunPhase.STOPPING or len(reply.ended) >= _LIST_LIMIT:
+        return False
+    return run.confirmed_at_s + _STOP_SETTLED_S < sent_at_s
+
+
 def _is_complete(reply: HoldReply) -> bool:
     """Tell whether a reply lists all runs and all ends of a worker."""
     return not reply.is_partial and len(reply.ended) < _LIST_LIMIT
