Store soon after an election which workers do not answer

Leaders that ended within 0.7 s of their election, one after the other, restarted the wait for a silent worker: each wrote its release only after the first call had timed out, so that the successor counted the leases from its own election (23.2 s, bound 19.9 s).

A leader now releases the workers that have not answered 0.25 s after it has read the fleet. Sound workers answer within some 40 ms; one that is late gets its orders after one more write.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_job_scheduler.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_job_scheduler.py
@@ -37,7 +37,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine, Sequence
+    from collections.abc import Callable, Coroutine, Mapping, Sequence
 
     from currantreach_jobs._advice import AdviceService
     from currantreach_jobs._clients import DaemonDependencies
@@ -79,6 +79,10 @@
 # Attempt numbers of a run start at the epoch times this factor, so that those
 # of an earlier leader are lower.
 _ATTEMPTS_PER_EPOCH = 1000
+# A worker in another failure domain answers its first call within some 40 ms. A
+# leader that ends before the call's timeout has then stored which workers did
+# not answer.
+_FIRST_ANSWER_S = 0.25
 _MS_PER_S = 1000
 
 
@@ -147,6 +151,7 @@
         )
         self._fleet_revision = 0
         self._stored_fleet: frozenset[str] = frozenset()
+        self._has_opened_fleet = asyncio.Event()
 
     async def run(self) -> None:
         """Recover the jobs and schedule them until the leadership ends."""
@@ -159,6 +164,12 @@
             ),
             # Releases of silent workers are written while the jobs are read.
             self._start_part('releases', self._releases.run),
+            self._start_part(
+                'first_answers',
+                functools.partial(
+                    _release_unanswered, self._has_opened_fleet, self._sessions
+                ),
+            ),
         ]
         try:
             await self._recover_and_schedule()
@@ -348,6 +359,7 @@
         for report in fleet.workers:
             self._open_session(report)
         self._stored_fleet = frozenset(self._sessions)
+        self._has_opened_fleet.set()
 
     def _team_weight(self, job: Job) -> int:
         config = self._dependencies.source.config
@@ -542,6 +554,17 @@
         await self._advice_dispatcher.close()
 
 
+async def _release_unanswered(
+    has_opened_fleet: asyncio.Event,
+    sessions: Mapping[str, WorkerSession],
+) -> None:
+    """Release the workers that do not answer soon after the election."""
+    await has_opened_fleet.wait()
+    await asyncio.sleep(_FIRST_ANSWER_S)
+    for session in tuple(sessions.values()):
+        session.release_unanswered()
+
+
 async def _cancel_all(tasks: Sequence[asyncio.Task[None]]) -> None:
     for task in tasks:
         task.cancel()
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -134,6 +134,22 @@
             await self._releases.wait_until_permitted(self.worker_id, _RETRY_S)
         log_event(_CLOSED_EVENT, worker=self.worker_id)
 
+    def release_unanswered(self) -> None:
+        """Release the worker unless it has answered this leader.
+
+        An earlier leader may have ordered runs there. Once the release is
+        stored, the wait for their leases survives the end of this leader.
+        """
+        if self._born_unix_ms:
+            return
+        if self._silent_since_s is None:
+            self._silent_since_s = self._leadership.acquired_at_s
+        self._releases.release(
+            self.worker_id,
+            self._silent_since_s,
+            self.leases_expire_at_s,
+        )
+
     def resume_after(self, failure: BaseException | None) -> None:
         """Prepare to run again after :meth:`run` has ended.
 
