Excuse an unknown end whose start a frozen worker received

The stand-in carries out such a start only once it thaws, and drops it if the worker dies, so that nobody can know in time whether it runs. Unknown is the true answer; the checker excused it only if the worker had logged a start.

The stand-in now logs a start that it receives while frozen, and the checker excuses an unknown end of exactly these requests besides. A start that a sound worker received excuses nothing, as its test shows.

--- a/packages/currantreach-standins/src/currantreach_standins/_fleet_worker.py
+++ b/packages/currantreach-standins/src/currantreach_standins/_fleet_worker.py
@@ -195,6 +195,16 @@
             self.event_log.record(task)
         self._fleet.schedule(self, task)
 
+    def log_held(self, order: StartOrder) -> None:
+        """Log a start that is received and not answered."""
+        self._fleet.log.add(
+            'held',
+            worker=self.name,
+            task_id=order.task_id,
+            epoch=order.epoch,
+            phase='',
+        )
+
     def _find_refusal(self, order: StartOrder) -> StartOutcome | None:
         if self._fleet.settings.refuses_stale_starts:
             if order.epoch < self._epoch:
--- a/packages/currantreach-standins/src/currantreach_standins/_task_log.py
+++ b/packages/currantreach-standins/src/currantreach_standins/_task_log.py
@@ -17,8 +17,9 @@
 class TaskLog:
     """Log of JSON lines in a file or in memory.
 
-    Each line has ``event`` (``start``, ``end`` or ``breach``), ``worker``,
-    ``task_id``, ``epoch``, ``wall_s`` and ``phase``.
+    Each line has ``event`` (``start``, ``end``, ``breach``, or ``held`` for a
+    start that a frozen worker received), ``worker``, ``task_id``, ``epoch``,
+    ``wall_s`` and ``phase``.
     """
 
     def __init__(self, path: pathlib.Path | None = None) -> None:
--- a/packages/currantreach-standins/src/currantreach_standins/_workers_app.py
+++ b/packages/currantreach-standins/src/currantreach_standins/_workers_app.py
@@ -202,6 +202,8 @@
         await request.read()
         if worker.fault.delay_ms:
             await asyncio.sleep(worker.fault.delay_ms / _MS_PER_S)
+        if worker.fault.freeze and endpoint == self.start:
+            await _log_held_starts(worker, request)
         if not await _is_reachable(worker, request):
             return drop_connection(request)
         self._fleet.run_due()
@@ -220,6 +222,13 @@
         return worker
 
 
+async def _log_held_starts(worker: FleetWorker, request: web.Request) -> None:
+    """Log the starts that a frozen worker receives and does not answer."""
+    body = await read_json(request, _StartOrders)
+    for order in body.orders:
+        worker.log_held(order)
+
+
 async def _is_reachable(worker: FleetWorker, request: web.Request) -> bool:
     """Wait while the worker is frozen; tell whether it is alive then."""
     while worker.fault.freeze:
--- a/testbed/_checker.py
+++ b/testbed/_checker.py
@@ -20,6 +20,9 @@
 
 __all__ = ('Findings', 'check_logs')
 
+# Key of the kind of a line in the log of a worker.
+_EVENT = 'event'
+
 
 @attrs.define(slots=True, kw_only=True)
 class Findings:
@@ -62,9 +65,11 @@
     :param upper_limits: upper limits by team and resource.
     :param failed_workers: workers that died or were frozen for longer than
         the task lease; an unrepeatable request that ran last on one of them
-        may end as unknown.
+        may end as unknown, as may one whose start a frozen one of them
+        received without an answer.
     """
-    events = sorted(_read_logs(paths), key=lambda event: event['wall_s'])
+    logged = sorted(_read_logs(paths), key=lambda event: event['wall_s'])
+    events = [event for event in logged if event[_EVENT] != 'held']
     findings = Findings()
     requests_by_id = {
         request.request_id: request for request in sent if request.request_id
@@ -73,12 +78,12 @@
     starts = collections.Counter(
         event['task_id'].rpartition('/')[0]
         for event in events
-        if event['event'] == 'start'
+        if event[_EVENT] == 'start'
     )
     last_worker_of = {
         event['task_id'].rpartition('/')[0]: event['worker']
-        for event in events
-        if event['event'] == 'start'
+        for event in logged
+        if event[_EVENT] in {'start', 'held'}
     }
     excused = {
         request_id
@@ -109,9 +114,9 @@
     for event in events:
         task_id = event['task_id']
         worker = event['worker']
-        if event['event'] == 'breach':
+        if event[_EVENT] == 'breach':
             findings.over_commits.append(f'{worker} {task_id}')
-        elif event['event'] == 'end':
+        elif event[_EVENT] == 'end':
             running.pop(task_id, None)
         else:
             if task_id in running or task_id in started_unrepeatable:
@@ -176,11 +181,11 @@
     used: dict[str, collections.Counter[str]] = {}
     for event in events:
         request = requests_by_id.get(event['task_id'].rpartition('/')[0])
-        if request is None or event['event'] == 'breach':
+        if request is None or event[_EVENT] == 'breach':
             continue
         usage = used.setdefault(request.team, collections.Counter())
         resources = request.body['resources']
-        if event['event'] == 'end':
+        if event[_EVENT] == 'end':
             usage.subtract(resources)
         else:
             usage.update(resources)
--- a/tests/test_testbed.py
+++ b/tests/test_testbed.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import pathlib
 
-from testbed import Cell, CellPlan
+import pytest
+
+from testbed import Cell, CellPlan, SentRequest, check_logs
 from testbed._process import Process, free_ports
 
 
@@ -53,3 +56,36 @@
     plan = CellPlan(site='agency', domains=('north', 'south'), worker_count=1)
     async with SlowStartCell(plan, tmp_path) as cell:
         assert await cell.status(cell.slow_daemon)
+
+
+@pytest.mark.parametrize(
+    ('event', 'worker', 'is_lost'),
+    [
+        ('held', 'frozen', False),
+        ('held', 'sound', True),
+        ('start', 'frozen', False),
+        ('', '', True),
+    ],
+)
+def test_unknown_end_is_excused_by_a_start_at_a_failed_worker(
+    tmp_path, event, worker, is_lost
+):
+    """A start that a frozen worker received has an unknown effect.
+
+    The worker logs no start, and the request ended as unknown: the checker
+    called it lost, although no daemon can know more.
+    """
+    sent = SentRequest(
+        team='tine-lab',
+        workload='scan',
+        body={'is_unrepeatable': True, 'payload': 'x', 'resources': {}},
+        is_durable=True,
+        request_id='r',
+        states=['accepted', 'unknown'],
+    )
+    log = tmp_path / 'worker.log'
+    line = {'event': event, 'worker': worker, 'task_id': 'r/0', 'wall_s': 1}
+    log.write_text(json.dumps(line) if event else '')
+    findings = check_logs([log], [sent], {}, {'frozen'})
+    assert bool(findings.lost) is is_lost
+    assert not findings.doubled
