Refuse at once a job with a task that no worker could hold

Such a job was accepted and waited until its caller gave up. The leader now tells all daemons, with the load, the largest amount of each resource that a worker of each service has had in its leadership; a worker that is away for a moment counts. Without a leader or a worker nothing is refused.

A refusal says that a job never runs. One for the limit of a team did not look whether an earlier call had accepted the job, so that a caller who repeated its call after a change of the limit was told so falsely. All refusals of a submission now read the record of the job first.

The tests of test_never_fits.py fail before, except the two that guard against refusing too much.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
@@ -26,7 +26,7 @@
     )
     from currantreach_jobs._records import ProgressRecord
     from currantreach_telemetry import Metrics
-    from currantreach_types import Clock
+    from currantreach_types import Clock, Resources
 
 __all__ = ('ClusterState',)
 
@@ -52,6 +52,9 @@
         :ivar unreadable: jobs whose records cannot be used. Their runs are
             not known, so nothing of them is started.
         :ivar quarantined: those of them that are not cancelled.
+        :ivar largest_rooms: largest amount of each resource that a worker of a
+            service has had in this leadership. A worker that is away for a
+            moment counts, as it comes back.
         :ivar pending_stops: runs to be stopped, not yet sent to their workers.
         :ivar jobs_loaded: set once all accepted jobs are loaded.
         :ivar count_retry: counts a retry, by its reason.
@@ -63,6 +66,7 @@
         self.open_jobs: dict[str, JobProgress] = {}
         self.unreadable: set[str] = set()
         self.workers: dict[str, WorkerState] = {}
+        self.largest_rooms: dict[str, Resources] = {}
         self.teams = TeamUsage()
         self.quarantined = QuarantinedJobs(self.teams)
         self.team_rates = TeamRates()
@@ -128,6 +132,10 @@
             self.workers[report.worker_id] = worker
         else:
             worker.update(report)
+        largest = self.largest_rooms.get(report.service, report.room)
+        self.largest_rooms[report.service] = largest.elementwise_max(
+            report.room
+        )
         self._wake()
         return worker
 
--- a/packages/currantreach-jobs/src/currantreach_jobs/_load.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_load.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
 import attrs
 
+from currantreach_jobs._progress import resource_demand
+from currantreach_types import Resources
+
 if TYPE_CHECKING:
     from currantreach_jobs._cluster_state import ClusterState
     from currantreach_jobs._model import Job
     from currantreach_jobs._progress import JobProgress
 
-__all__ = ('Load', 'measure_load', 'wait_before_retry_s')
+__all__ = ('Load', 'fits_no_worker', 'measure_load', 'wait_before_retry_s')
 
 _MILLI = 1000
 # Beyond its share a team may use idle capacity only, and there is none with
@@ -33,12 +37,14 @@
     :ivar share_wait_s: time to do the waiting work within the shares of teams.
     :ivar wait_s: time to do all waiting work.
     :ivar teams_over_share: teams that have submitted more than their share.
+    :ivar largest_rooms: largest amounts of resources of a worker by service.
     """
 
     urgent_wait_s: float = 0
     share_wait_s: float = 0
     wait_s: float = 0
     teams_over_share: frozenset[str] = frozenset()
+    largest_rooms: Mapping[str, Resources] = attrs.field(factory=dict)
 
 
 def measure_load(cluster: ClusterState, now_s: float) -> Load:
@@ -63,15 +69,24 @@
         if not progress.job.queue.priority:
             urgent_core_s += work_core_s
     if not core_count:
-        return Load()
+        return Load(largest_rooms=dict(cluster.largest_rooms))
     return Load(
         urgent_wait_s=urgent_core_s / core_count,
         share_wait_s=share_core_s / core_count,
         wait_s=all_core_s / core_count,
         teams_over_share=frozenset(cluster.team_rates.teams_over_share(now_s)),
+        largest_rooms=dict(cluster.largest_rooms),
     )
 
 
+def fits_no_worker(load: Load, job: Job) -> bool:
+    """Tell whether a task needs more than any worker of its service has had."""
+    largest = load.largest_rooms.get(job.queue.service)
+    if largest is None:
+        return False
+    return any(not resource_demand(step).fits_in(largest) for step in job.steps)
+
+
 def wait_before_retry_s(load: Load, job: Job) -> float:
     """Return after what time a caller may retry, 0 if its job is accepted."""
     bound_s = _MAX_WAIT_FACTOR * job.objective_s()
--- a/packages/currantreach-jobs/src/currantreach_jobs/_messages.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_messages.py
@@ -7,6 +7,7 @@
 from currantreach_jobs._bounds import amount
 from currantreach_jobs._model import Job, JobState
 from currantreach_jobs._records import LeaderRecord
+from currantreach_types import Resources
 
 __all__ = (
     'AdviceReply',
@@ -59,6 +60,7 @@
     share_wait_s: float = attrs.field(default=0, validator=amount)
     wait_s: float = attrs.field(default=0, validator=amount)
     ahead_teams: tuple[str, ...] = ()
+    largest_rooms: dict[str, Resources] = attrs.field(factory=dict)
 
 
 @attrs.frozen(slots=True, kw_only=True)
--- a/packages/currantreach-jobs/src/currantreach_jobs/_submissions.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_submissions.py
@@ -8,7 +8,11 @@
 
 import attrs
 
-from currantreach_jobs._load import Load, wait_before_retry_s
+from currantreach_jobs._load import (
+    Load,
+    fits_no_worker,
+    wait_before_retry_s,
+)
 from currantreach_jobs._messages import (
     AnnounceReply,
     CancelRequest,
@@ -156,11 +160,18 @@
 
     async def submit(self, job: Job) -> CallerResponse:
         """Accept a job durably, or refuse it."""
-        if self._exceeds_team_limit(job):
-            return CallerResponse(outcome=Outcome.NEVER_FITS)
+        if self._exceeds_team_limit(job) or fits_no_worker(self.load, job):
+            return await self._refuse(
+                job, CallerResponse(outcome=Outcome.NEVER_FITS)
+            )
         wait_s = wait_before_retry_s(self.load, job)
         if wait_s:
-            return await self._refuse_overload(job, wait_s)
+            return await self._refuse(
+                job,
+                CallerResponse(
+                    outcome=Outcome.OVERLOADED, retry_after_s=wait_s
+                ),
+            )
         return await self._write_or_forward(
             job.job_id,
             lambda: self.submit_locally(job),
@@ -250,6 +261,7 @@
                 share_wait_s=reply.share_wait_s,
                 wait_s=reply.wait_s,
                 teams_over_share=frozenset(reply.ahead_teams),
+                largest_rooms=reply.largest_rooms,
             )
 
     def answer_load(self) -> LoadReply:
@@ -264,10 +276,16 @@
             share_wait_s=load.share_wait_s,
             wait_s=load.wait_s,
             ahead_teams=tuple(load.teams_over_share),
+            largest_rooms=dict(load.largest_rooms),
         )
 
-    async def _refuse_overload(self, job: Job, wait_s: float) -> CallerResponse:
-        """Refuse a job, unless an earlier call has accepted it."""
+    async def _refuse(
+        self, job: Job, refusal: CallerResponse
+    ) -> CallerResponse:
+        """Refuse a job, unless an earlier call has accepted it.
+
+        A limit or a load may have changed since that call.
+        """
         try:
             if await self._store.get(job_key(job.job_id)) is not None:
                 return await self._reply_to_repeat(job)
@@ -280,16 +298,16 @@
         log_event(
             'job_refused',
             job=job.job_id,
-            reason='overloaded',
+            reason=refusal.outcome.value,
             queue=job.queue.name,
             team=job.team,
             is_ahead=job.team in self.load.teams_over_share,
             urgent_wait_s=round(self.load.urgent_wait_s, 2),
             share_wait_s=round(self.load.share_wait_s, 2),
             wait_s=round(self.load.wait_s, 2),
-            retry_after_s=round(wait_s, 1),
+            retry_after_s=round(refusal.retry_after_s, 1),
         )
-        return CallerResponse(outcome=Outcome.OVERLOADED, retry_after_s=wait_s)
+        return refusal
 
     def _announce(self, job: Job) -> None:
         """Send an accepted job to the leader before its watch reports it.
