Refuse writes behind a silent one unsent

What callers saw: while the store was silent, submissions waited behind one write without an answer, each for 0.8 to 1.6 s or until its deadline, and ended as unknown (504), which callers of work that must not be repeated cannot try again. Most of them had not been sent at all.

Cause: a daemon writes one batch at a time, and what came meanwhile waited for it.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_key_writer.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_key_writer.py
@@ -26,6 +26,10 @@
 # Attempts of a write whose answers are lost, 0.8 s each. A caller that gets
 # the failure within two seconds repeats its call at another daemon.
 _WRITE_ATTEMPTS = 2
+# A write without an answer for this long means that the store is silent; a slow
+# store takes 0.25 s. Later writes are refused unsent, so that their callers try
+# again instead of waiting for an unknown outcome.
+_SILENCE_S = 0.4
 # Pause after a refused retry, so that the store is not overloaded.
 _RETRY_S = 0.1
 
@@ -46,6 +50,7 @@
         self._store = store
         self._pending: list[_PendingWrite] = []
         self._has_pending = asyncio.Event()
+        self._is_store_silent = False
 
     async def run(self) -> None:
         """Write pending keys in batches until cancelled."""
@@ -56,11 +61,7 @@
                 size = self._store.max_entries // 2
                 batch = self._pending[:size]
                 self._pending = self._pending[size:]
-                try:
-                    await self._write(batch)
-                except Exception:
-                    _abandon(batch)
-                    raise
+                await self._write_or_abandon(batch)
 
     async def create(self, key: str, stored: bytes) -> bool:
         """Create a key; return false if it existed before.
@@ -68,6 +69,8 @@
         :raises StoreUnavailableError: if the key was certainly not written.
         :raises PlatformError: if it may have been written.
         """
+        if self._is_store_silent:
+            raise _unsent_error()
         outcome: asyncio.Future[bool] = (
             asyncio.get_running_loop().create_future()
         )
@@ -77,6 +80,30 @@
         self._has_pending.set()
         return await outcome
 
+    async def _write_or_abandon(self, batch: list[_PendingWrite]) -> None:
+        """Write a batch, and refuse later writes while it has no answer."""
+        writing = asyncio.ensure_future(self._write(batch))
+        try:
+            await asyncio.wait({writing}, timeout=_SILENCE_S)
+            if not writing.done():
+                self._is_store_silent = True
+                self._refuse_pending()
+            await writing
+        except Exception:
+            _abandon(batch)
+            raise
+        finally:
+            self._is_store_silent = False
+            writing.cancel()
+
+    def _refuse_pending(self) -> None:
+        """Fail the writes that have not been sent."""
+        unsent = self._pending
+        self._pending = []
+        for pending in unsent:
+            if not pending.outcome.done():
+                pending.outcome.set_exception(_unsent_error())
+
     async def _write(self, batch: list[_PendingWrite]) -> None:
         unique: dict[str, _PendingWrite] = {}
         for pending in batch:
@@ -135,6 +162,12 @@
         return failure
 
 
+def _unsent_error() -> StoreUnavailableError:
+    return StoreUnavailableError(
+        'an earlier write has no answer, and this one was not sent; retry later'
+    )
+
+
 def _abandon(batch: Sequence[_PendingWrite]) -> None:
     """Fail the writes of a batch that has ended without their outcome."""
     for pending in batch:
