Send further writes beside one whose answer is lost

A batch without an answer for 0.4 s no longer holds the next one, which is sent beside it. Only after three in a row without an answer does the store count as silent; from then on one transaction at a time tries it until one has an answer.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_key_writer.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_key_writer.py
@@ -9,6 +9,7 @@
 import attrs
 
 from currantreach_platform import Write
+from currantreach_telemetry import log_warning
 from currantreach_types.errors import (
     OutcomeUnknownError,
     PlatformError,
@@ -26,10 +27,13 @@
 # Attempts of a write whose answers are lost, 0.8 s each. A caller that gets
 # the failure within two seconds repeats its call at another daemon.
 _WRITE_ATTEMPTS = 2
-# A write without an answer for this long means that the store is silent; a slow
-# store takes 0.25 s. Later writes are refused unsent, so that their callers try
-# again instead of waiting for an unknown outcome.
+# A transaction without an answer for this long has lost it, or the store is
+# silent; a slow store takes 0.25 s.
 _SILENCE_S = 0.4
+# After this many transactions in a row without an answer the store counts as
+# silent. A store that is alive and loses four answers in ten loses this many in
+# a row rarely.
+_MAX_UNANSWERED = 3
 # Pause after a refused retry, so that the store is not overloaded.
 _RETRY_S = 0.1
 
@@ -51,17 +55,25 @@
         self._pending: list[_PendingWrite] = []
         self._has_pending = asyncio.Event()
         self._is_store_silent = False
+        self._unanswered_count = 0
+        self._in_flight: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
-        """Write pending keys in batches until cancelled."""
-        while True:
-            await self._has_pending.wait()
-            self._has_pending.clear()
-            while self._pending:
-                size = self._store.max_entries // 2
-                batch = self._pending[:size]
-                self._pending = self._pending[size:]
-                await self._write_or_abandon(batch)
+        """Write pending keys in batches until cancelled.
+
+        The next batch is sent once one has its answer, or has none for a
+        while. Writes are refused unsent while the store is silent, so that
+        their callers try again instead of waiting for an unknown outcome.
+        """
+        try:
+            while True:
+                await self._has_pending.wait()
+                self._has_pending.clear()
+                while self._pending:
+                    await self._send_batch()
+        finally:
+            for writing in self._in_flight:
+                writing.cancel()
 
     async def create(self, key: str, stored: bytes) -> bool:
         """Create a key; return false if it existed before.
@@ -80,21 +92,32 @@
         self._has_pending.set()
         return await outcome
 
+    async def _send_batch(self) -> None:
+        size = self._store.max_entries // 2
+        batch = self._pending[:size]
+        self._pending = self._pending[size:]
+        writing = asyncio.create_task(self._write_or_abandon(batch))
+        self._in_flight.add(writing)
+        writing.add_done_callback(self._in_flight.discard)
+        await asyncio.wait({writing}, timeout=_SILENCE_S)
+        if writing.done():
+            return
+        self._unanswered_count += 1
+        if self._unanswered_count >= _MAX_UNANSWERED:
+            self._is_store_silent = True
+            self._refuse_pending()
+            await asyncio.wait(
+                tuple(self._in_flight),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            self._is_store_silent = False
+
     async def _write_or_abandon(self, batch: list[_PendingWrite]) -> None:
-        """Write a batch, and refuse later writes while it has no answer."""
-        writing = asyncio.ensure_future(self._write(batch))
         try:
-            await asyncio.wait({writing}, timeout=_SILENCE_S)
-            if not writing.done():
-                self._is_store_silent = True
-                self._refuse_pending()
-            await writing
-        except Exception:
+            await self._write(batch)
+        except Exception as error:
+            log_warning('key_write_failed', keys=len(batch), error=repr(error))
             _abandon(batch)
-            raise
-        finally:
-            self._is_store_silent = False
-            writing.cancel()
 
     def _refuse_pending(self) -> None:
         """Fail the writes that have not been sent."""
@@ -143,6 +166,7 @@
                 [pending.write for pending in unique.values()],
             )
         except TransactionConflictError as conflict:
+            self._unanswered_count = 0
             for key, revision in conflict.revisions.items():
                 if revision:
                     # After a lost answer, an earlier attempt may have written
@@ -156,6 +180,7 @@
             return failure
         except PlatformError as lost:
             return OutcomeUnknownError(f'{lost}; query the state of the job')
+        self._unanswered_count = 0
         for written in unique.values():
             _resolve(written, True)
         unique.clear()
--- a/packages/currantreach-jobs/tests/test_supervision.py
+++ b/packages/currantreach-jobs/tests/test_supervision.py
@@ -189,6 +189,8 @@
         running = asyncio.create_task(writer.run())
         with pytest.raises(OutcomeUnknownError):
             await asyncio.wait_for(writer.create('key', b''), 5)
+        assert not running.done()
+        running.cancel()
         await asyncio.gather(running, return_exceptions=True)
 
     run_scenario(scenario)
