Refuse no repeat of a write that is on its way

A write that is refused unsent while the store is silent says that the job never runs. A caller who repeats a call that has no answer yet could be told so by the same daemon although the first write takes effect. Such a repeat ends as unknown now.

test_repeat_of_a_sent_write_is_not_refused_as_unsent fails before.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_key_writer.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_key_writer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import functools
 from typing import TYPE_CHECKING
 
@@ -57,6 +58,7 @@
         self._is_store_silent = False
         self._unanswered_count = 0
         self._in_flight: set[asyncio.Task[None]] = set()
+        self._sent_keys: collections.Counter[str] = collections.Counter()
 
     async def run(self) -> None:
         """Write pending keys in batches until cancelled.
@@ -82,7 +84,7 @@
         :raises PlatformError: if it may have been written.
         """
         if self._is_store_silent:
-            raise _unsent_error()
+            raise self._refusal_of(key)
         outcome: asyncio.Future[bool] = (
             asyncio.get_running_loop().create_future()
         )
@@ -113,11 +115,16 @@
             self._is_store_silent = False
 
     async def _write_or_abandon(self, batch: list[_PendingWrite]) -> None:
+        keys = [pending.write.key for pending in batch]
+        self._sent_keys.update(keys)
         try:
             await self._write(batch)
         except Exception as error:
             log_warning('key_write_failed', keys=len(batch), error=repr(error))
             _abandon(batch)
+        finally:
+            self._sent_keys.subtract(keys)
+            self._sent_keys = +self._sent_keys
 
     def _refuse_pending(self) -> None:
         """Fail the writes that have not been sent."""
@@ -125,7 +132,23 @@
         self._pending = []
         for pending in unsent:
             if not pending.outcome.done():
-                pending.outcome.set_exception(_unsent_error())
+                pending.outcome.set_exception(
+                    self._refusal_of(pending.write.key)
+                )
+
+    def _refusal_of(self, key: str) -> PlatformError:
+        """Return the error for a write that is not sent.
+
+        An earlier call for the same key may be on its way to the store.
+        """
+        if key in self._sent_keys:
+            return OutcomeUnknownError(
+                'an earlier write of the key has no answer; query the job'
+            )
+        return StoreUnavailableError(
+            'an earlier write has no answer, and this one was not sent; '
+            'retry later'
+        )
 
     async def _write(self, batch: list[_PendingWrite]) -> None:
         unique: dict[str, _PendingWrite] = {}
@@ -187,12 +210,6 @@
         return failure
 
 
-def _unsent_error() -> StoreUnavailableError:
-    return StoreUnavailableError(
-        'an earlier write has no answer, and this one was not sent; retry later'
-    )
-
-
 def _abandon(batch: Sequence[_PendingWrite]) -> None:
     """Fail the writes of a batch that has ended without their outcome."""
     for pending in batch:
--- a/packages/currantreach-jobs/tests/test_silent_store.py
+++ b/packages/currantreach-jobs/tests/test_silent_store.py
@@ -132,6 +132,28 @@
     run_scenario(scenario)
 
 
+def test_repeat_of_a_sent_write_is_not_refused_as_unsent(run_scenario):
+    """A refusal says that a job never runs, but the first call may be stored.
+
+    The caller repeats its call while the first one has no answer.
+    """
+
+    async def scenario(*_):
+        store = SilentStore()
+        writer = KeyWriter(store)
+        running = asyncio.ensure_future(writer.run())
+        first = asyncio.ensure_future(create(writer, 'k0'))
+        others = asyncio.ensure_future(create_at_rate(writer, 28, 0.05))
+        await asyncio.sleep(1.3)
+        repeated, _ = await create(writer, 'k0')
+        assert repeated is OutcomeUnknownError
+        assert (await create(writer, 'new'))[0] is StoreUnavailableError
+        await asyncio.gather(first, others)
+        running.cancel()
+
+    run_scenario(scenario)
+
+
 def test_writes_are_accepted_once_the_store_answers(run_scenario):
     """The end of a silence must be noticed with the next write."""
 
