--- a/tests/adapter/test_odd_input.py
+++ b/tests/adapter/test_odd_input.py
@@ -249,6 +249,17 @@
     assert reply.ended[0].number == 58
 
 
+@pytest.mark.parametrize('name', ['active', 'finished'])
+def test_unreadable_row_makes_the_list_partial(name):
+    """A run whose end cannot be read must not be taken for lost."""
+    odd = [TASK_NAME, 10**30, '', 0]
+    if name == 'finished':
+        odd = [59, TASK_NAME, 10**30, 'done', '']
+    body = encode({**HOLD, name: [*HOLD[name], odd]})
+    assert call(make_run_client, body, hold).is_partial
+    assert not call(make_run_client, encode(HOLD), hold).is_partial
+
+
 def test_odd_percent_counts_as_none():
     """A progress that is too large must not make a run unreadable."""
     rows = [[TASK_NAME, 2, '', HUGE, 7]]
