Open the occurrences of scheduled jobs when they are due

Seen by callers: 22 accepted nightly jobs of one team ended each leading daemon in turn by its memory.

Cause: when a job was accepted, the leader created the stages of all of its occurrences, also of those that are due in years: 20,000 stages and tasks, 17.3 MB for one job of 20 steps and 1000 occurrences (tracemalloc). Each successor read the same jobs from the store and created the same stages while it recovered.

Change: stages are created when their occurrence is due and dropped when it is done; the record in the store stays as it was.

The same cause on a related path: the work of future occurrences counted as waiting work, so that an idle cell refused new jobs as overloaded.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from currantreach_jobs._model import EndKind, JobState
+from currantreach_jobs._occurrences import DueOccurrences
 from currantreach_jobs._progress import JobProgress, Run, RunPhase, Stage
 from currantreach_jobs._quarantine import QuarantinedJobs
 from currantreach_jobs._records import Placement
@@ -71,6 +72,7 @@
         self.quarantined = QuarantinedJobs(self.teams)
         self.team_rates = TeamRates()
         self.pending_stops: list[Run] = []
+        self._due_occurrences = DueOccurrences()
         self.jobs_loaded = asyncio.Event()
         self._clock = clock
         self._mark_changed = mark_changed
@@ -115,6 +117,7 @@
         self.jobs[job.job_id] = progress
         if not progress.state.is_final:
             self.open_jobs[job.job_id] = progress
+            self._due_occurrences.add(progress, unix_now_ms())
         self._wake()
 
     def cancel(self, job_id: str) -> None:
@@ -347,6 +350,7 @@
     def ready_stages(self) -> Iterator[Stage]:
         """Yield all stages with tasks that may be started."""
         unix_ms = unix_now_ms()
+        self._due_occurrences.open_due(unix_ms)
         for progress in self.open_jobs.values():
             if not progress.is_unwritable:
                 yield from progress.ready_stages(unix_ms)
@@ -390,6 +394,7 @@
                 attempt=ended.attempt,
                 worker=worker_id,
             )
+            progress.close_if_done(stage.occurrence)
         if progress.is_all_done():
             self._end_job(progress, JobState.COMPLETE)
         self._wake()
@@ -437,6 +442,7 @@
     def _end_job(self, progress: JobProgress, state: JobState) -> None:
         progress.state = state
         self.open_jobs.pop(progress.job.job_id, None)
+        self._due_occurrences.discard(progress.job.job_id)
         progress.ended_unix_ms = unix_now_ms()
         self._metrics.record_request_end(progress.job.queue.name, state)
         log_event(
--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -20,13 +20,14 @@
 from currantreach_types.errors import MalformedMessageError
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterator, Mapping
 
 __all__ = ('JobProgress', 'Run', 'RunPhase', 'Stage', 'TaskProgress')
 
 # The result of a job that takes longer than this multiple of its objective is
 # of no use to its caller; the job runs only when no other needs the capacity.
 _DEADLINE_FACTOR = 3
+_DONE_STAGE = StageRecord(is_done=True)
 # Wait after which its reason is logged first. Advice calls and writes of start
 # records take less time under normal load.
 _FIRST_LOG_S = 1
@@ -274,7 +275,11 @@
     :ivar is_over_share: whether the job exceeds the share of its team.
     :ivar objective_s: time from the acceptance in which callers want the job
         to be complete, by the estimates of its steps.
-    :ivar stages: stages by occurrence and number of the step.
+    :ivar stages: stages of the open occurrences, by occurrence and number of
+        the step. An occurrence is opened when it is due, as a leader could not
+        hold the stages of all future occurrences of all jobs.
+    :ivar done_occurrences: occurrences that are done; they have no stages any
+        more.
     """
 
     job: Job
@@ -288,6 +293,20 @@
     is_over_share: bool = False
     objective_s: float = 0
     stages: dict[tuple[int, int], Stage] = attrs.field(factory=dict)
+    done_occurrences: set[int] = attrs.field(factory=set)
+    _next_occurrence: int = attrs.field(default=0, init=False)
+
+    @property
+    def occurrence_total(self) -> int:
+        """Return the number of occurrences; a job without times has one."""
+        return max(1, self.job.occurrence_count)
+
+    @property
+    def has_unopened_occurrences(self) -> bool:
+        """Tell whether any occurrence has not been opened yet."""
+        while self._is_opened(self._next_occurrence):
+            self._next_occurrence += 1
+        return self._next_occurrence < self.occurrence_total
 
     @property
     def visible_state(self) -> JobState:
@@ -352,50 +371,52 @@
 
     def is_all_done(self) -> bool:
         """Tell whether every task is done."""
-        return all(stage.is_done for stage in self.stages.values())
+        return len(self.done_occurrences) >= self.occurrence_total
 
     def record(self) -> ProgressRecord:
         """Return the record to store."""
+        stages = {
+            f'{occurrence}.{number}': _DONE_STAGE
+            for occurrence in sorted(self.done_occurrences)
+            for number in range(len(self.job.steps))
+        }
+        for (occurrence, number), stage in self.stages.items():
+            if stage.has_history:
+                stages[f'{occurrence}.{number}'] = stage.record()
         return ProgressRecord(
             state=self.state,
             ended_unix_ms=self.ended_unix_ms,
-            stages={
-                f'{occurrence}.{number}': stage.record()
-                for (occurrence, number), stage in self.stages.items()
-                if stage.has_history
-            },
+            stages=stages,
         )
 
-    def create_stages(self) -> None:
-        """Create the stages of all occurrences."""
-        if not self.job.steps:
-            # The stored job loses its steps when it ends.
-            raise ValueError('the job has no steps')
-        self.objective_s = self.job.objective_s()
-        remaining_path_s = self.job.remaining_path_s()
-        for occurrence in range(max(1, self.job.occurrence_count)):
-            for number, step in enumerate(self.job.steps):
-                self.stages[occurrence, number] = Stage(
-                    job_progress=self,
-                    occurrence=occurrence,
-                    step_number=number,
-                    step=step,
-                    tasks=[
-                        TaskProgress(last_attempt=self.attempt_base)
-                        for _ in range(step.task_count)
-                    ],
-                    waiting=set(range(step.task_count)),
-                    remaining_s=remaining_path_s[number],
-                )
+    def open_next_due(self, unix_ms: int) -> bool:
+        """Open the first unopened occurrence, if it is due.
+
+        :returns: whether an occurrence was opened.
+        """
+        if not self.has_unopened_occurrences:
+            return False
+        if not self.is_due(self._next_occurrence, unix_ms):
+            return False
+        self._open_occurrence(self._next_occurrence)
+        return True
+
+    def close_if_done(self, occurrence: int) -> None:
+        """Drop the stages of an occurrence once all of them are done."""
+        keys = [(occurrence, number) for number in range(len(self.job.steps))]
+        if all(self.stages[key].is_done for key in keys):
+            self.done_occurrences.add(occurrence)
+            for key in keys:
+                self.stages.pop(key)
 
     def restore_job(self, record: ProgressRecord | None) -> None:
-        """Create the stages and apply the record of an earlier leader.
+        """Prepare the job and apply the record of an earlier leader.
 
         :raises MalformedMessageError: if the record does not fit the job.
         """
         try:
             if record is None or not record.state.is_final:
-                self.create_stages()
+                self._check_steps()
             if record is not None:
                 self._apply_record(record)
         except Exception as error:
@@ -408,9 +429,63 @@
         self.state = record.state
         self.durable_state = record.state
         self.ended_unix_ms = record.ended_unix_ms
-        for name, stage_record in record.stages.items():
-            occurrence, _, number = name.partition('.')
-            stage = self.stages.get((int(occurrence), int(number)))
-            if stage is not None:
-                stage.restore(stage_record)
-                self.has_started = True
+        if self.state.is_final:
+            return
+        for occurrence, stage_records in _by_occurrence(record).items():
+            if 0 <= occurrence < self.occurrence_total:
+                self._restore_occurrence(occurrence, stage_records)
+
+    def _restore_occurrence(
+        self,
+        occurrence: int,
+        stage_records: Mapping[int, StageRecord],
+    ) -> None:
+        self.has_started = True
+        step_count = len(self.job.steps)
+        found = [stage_records.get(number) for number in range(step_count)]
+        if all(stage_record and stage_record.is_done for stage_record in found):
+            self.done_occurrences.add(occurrence)
+            return
+        self._open_occurrence(occurrence)
+        for number, stage_record in enumerate(found):
+            if stage_record is not None:
+                self.stages[occurrence, number].restore(stage_record)
+        self.close_if_done(occurrence)
+
+    def _check_steps(self) -> None:
+        """Check that the job can run, and compute its objective."""
+        if not self.job.steps:
+            # The stored job loses its steps when it ends.
+            raise ValueError('the job has no steps')
+        self.objective_s = self.job.objective_s()
+
+    def _is_opened(self, occurrence: int) -> bool:
+        is_open = (occurrence, 0) in self.stages
+        return is_open or occurrence in self.done_occurrences
+
+    def _open_occurrence(self, occurrence: int) -> None:
+        remaining_path_s = self.job.remaining_path_s()
+        for number, step in enumerate(self.job.steps):
+            self.stages[occurrence, number] = Stage(
+                job_progress=self,
+                occurrence=occurrence,
+                step_number=number,
+                step=step,
+                tasks=[
+                    TaskProgress(last_attempt=self.attempt_base)
+                    for _ in range(step.task_count)
+                ],
+                waiting=set(range(step.task_count)),
+                remaining_s=remaining_path_s[number],
+            )
+
+
+def _by_occurrence(
+    record: ProgressRecord,
+) -> dict[int, dict[int, StageRecord]]:
+    """Return the records of stages by occurrence and number of the step."""
+    found: dict[int, dict[int, StageRecord]] = {}
+    for name, stage_record in record.stages.items():
+        occurrence, _, number = name.partition('.')
+        found.setdefault(int(occurrence), {})[int(number)] = stage_record
+    return found
