Take a recorded placement for no start of its job

Cause: a placement is recorded before its start order is sent. A successor that read a recorded stage took the job for started. A run that a partial list of a worker may hide was taken for started in the same way.

Change: a job has started once a worker confirms a start or lists a run or an end of it. The record says so in a field of its own; it is written with the next change of the job, and at once when a run is lost or cut short before that. While a placement is not resolved, the job counts as pending and is shown as running.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
@@ -189,12 +189,8 @@
         """Mark a run as started by its worker."""
         if run.phase is RunPhase.OVER:
             return
-        run.confirmed_at_s = self._clock.now_s()
-        if run.phase is RunPhase.STARTING:
-            run.phase = RunPhase.RUNNING
         run.stage.job_progress.has_started = True
-        if not run.stage.step.is_gang or run.stage.is_fully_running():
-            run.stage.begin_wait(self._clock.now_s())
+        run.mark_running(self._clock.now_s())
 
     def abandon_start(self, run: Run, reason: str) -> None:
         """Give up a run that its worker certainly did not start.
@@ -243,12 +239,22 @@
         self._metrics.record_retry('run_lost')
         _log_run('run_lost', run, run.worker_id)
         self._deallocate(run)
+        progress = run.stage.job_progress
+        if progress.has_unstored_start:
+            self._mark_changed(progress.job.job_id)
         if run.stage.step.is_gang:
             self.stop_stage(run.stage)
 
-    def adopt(self, worker_id: str, found: RunningRun) -> Run | None:
-        """Adopt a run that an earlier leader has started.
+    def adopt(
+        self,
+        worker_id: str,
+        found: RunningRun,
+        is_listed: bool = True,
+    ) -> Run | None:
+        """Adopt a run that an earlier leader has ordered.
 
+        :param is_listed: whether the worker lists it. Otherwise it is not known
+            whether the run was started.
         :returns: the run, or nothing if its task does not need it any more.
         """
         stage = self.stage_of(found.task)
@@ -261,7 +267,9 @@
         self._drop_inherited(stage, found.task.index)
         run = self.create_run(stage, found.task.index, worker_id, found.attempt)
         task.checkpoint = found.checkpoint or task.checkpoint
-        self.confirm_start(run)
+        if is_listed:
+            stage.job_progress.has_started = True
+        run.mark_running(self._clock.now_s())
         return run
 
     def drop_inherited(self, worker_id: str) -> None:
@@ -334,6 +342,7 @@
                 )
         if stage is None or stage.job_progress.state.is_final:
             return
+        stage.job_progress.has_started = True
         task = stage.tasks[ended.task.index]
         task.last_attempt = max(task.last_attempt, ended.attempt)
         task.checkpoint = ended.checkpoint or task.checkpoint
@@ -344,6 +353,8 @@
         else:
             self._metrics.record_retry(f'run_{ended.kind}')
             _log_run('run_cut_short', ended, worker_id, how=ended.kind)
+            if stage.job_progress.has_unstored_start:
+                self._mark_changed(ended.task.job_id)
             if stage.step.is_gang:
                 self.stop_stage(stage)
 
@@ -356,7 +367,11 @@
                 yield from progress.ready_stages(unix_ms)
 
     def pending_count(self, queue_name: str) -> int:
-        """Return the number of jobs of a queue that have not started."""
+        """Return the number of jobs of a queue that have not started.
+
+        A job counts until a worker confirms or lists one of its runs. An
+        inherited placement is no proof, as the worker may have refused it.
+        """
         return sum(
             1
             for progress in self.open_jobs.values()
@@ -378,7 +393,6 @@
         if stage.tasks[ended.task.index].is_done:
             return
         progress = stage.job_progress
-        progress.has_started = True
         # The tasks of a gang end together, so one end counts for all of them.
         indices = [ended.task.index]
         if stage.step.is_gang:
@@ -422,7 +436,6 @@
             return
         task = stage.tasks[ended.task.index]
         task.failure_count += 1
-        progress.has_started = True
         self._mark_changed(progress.job.job_id)
         failures = task.failure_count
         if stage.step.is_gang:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_committer.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_committer.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from currantreach_jobs._model import JobState
 from currantreach_jobs._records import (
     LEADER_KEY,
     encode_ended_job,
@@ -27,7 +28,6 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
-    from currantreach_jobs._model import JobState
     from currantreach_jobs._progress import JobProgress
     from currantreach_jobs._settings import Leadership
     from currantreach_platform import TransactionalStore
@@ -64,6 +64,18 @@
     future: asyncio.Future[None]
 
 
+@attrs.frozen(slots=True, kw_only=True)
+class _Snapshot:
+    """What a transaction writes of one job.
+
+    :ivar change_count: number of changes up to then.
+    """
+
+    change_count: int
+    state: JobState
+    has_started: bool
+
+
 @attrs.define(slots=True, eq=False)
 class _TrackedRecord:
     """Write state of the progress record of one job.
@@ -299,10 +311,7 @@
             self._wake.set()
 
     async def _write(self, batch: Sequence[str]) -> None:
-        counts = {
-            job_id: self._records[job_id].change_count for job_id in batch
-        }
-        states = {job_id: self.jobs[job_id].state for job_id in batch}
+        written = {job_id: self._snapshot(job_id) for job_id in batch}
         try:
             revision = await self._store.commit(
                 {
@@ -324,7 +333,7 @@
             log_event('progress_write_failed', jobs=len(batch), error=error)
             self._paused_until_s = self._clock.now_s() + _RETRY_S
         else:
-            self._mark_written(counts, states, revision)
+            self._mark_written(written, revision)
         for job_id in batch:
             self._requeue(job_id)
 
@@ -365,20 +374,29 @@
 
     def _mark_written(
         self,
-        counts: Mapping[str, int],
-        states: Mapping[str, JobState],
+        written: Mapping[str, _Snapshot],
         revision: int,
     ) -> None:
-        for job_id, count in counts.items():
+        for job_id, snapshot in written.items():
             record = self._record_of(job_id)
             record.revision = revision
-            record.mark_written(count)
+            record.mark_written(snapshot.change_count)
             self._dirty.pop(job_id, None)
             if not record.is_written:
                 record.changed_at_s = self._clock.now_s()
                 self._dirty[job_id] = record
-            self.jobs[job_id].durable_state = states[job_id]
-            self.jobs[job_id].is_unwritable = False
+            progress = self.jobs[job_id]
+            progress.durable_state = snapshot.state
+            progress.is_start_durable = snapshot.has_started
+            progress.is_unwritable = False
+
+    def _snapshot(self, job_id: str) -> _Snapshot:
+        progress = self.jobs[job_id]
+        return _Snapshot(
+            change_count=self._records[job_id].change_count,
+            state=progress.state,
+            has_started=progress.has_started,
+        )
 
     def _record_of(self, job_id: str) -> _TrackedRecord:
         return self._records.setdefault(job_id, _TrackedRecord())
--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -70,6 +70,14 @@
     confirmed_at_s: float = 0
     ticket: str = ''
 
+    def mark_running(self, now_s: float) -> None:
+        """Mark the run as running from now on, unless it is to be stopped."""
+        self.confirmed_at_s = now_s
+        if self.phase is RunPhase.STARTING:
+            self.phase = RunPhase.RUNNING
+        if not self.stage.step.is_gang or self.stage.is_fully_running():
+            self.stage.begin_wait(now_s)
+
 
 @attrs.define(slots=True, kw_only=True, eq=False)
 class TaskProgress:
@@ -272,6 +280,8 @@
     :ivar is_unwritable: whether the store has rejected the newest record.
         Nothing of the job is started meanwhile, as no placement can be
         recorded.
+    :ivar has_started: whether a worker has confirmed or listed any of its runs.
+    :ivar is_start_durable: whether this is in the store.
     :ivar is_over_share: whether the job exceeds the share of its team.
     :ivar objective_s: time from the acceptance in which callers want the job
         to be complete, by the estimates of its steps.
@@ -290,6 +300,7 @@
     ended_unix_ms: int = 0
     is_unwritable: bool = False
     has_started: bool = False
+    is_start_durable: bool = False
     is_over_share: bool = False
     objective_s: float = 0
     stages: dict[tuple[int, int], Stage] = attrs.field(factory=dict)
@@ -314,7 +325,16 @@
         if self.state.is_final:
             is_durable = self.durable_state.is_final
             return self.durable_state if is_durable else JobState.RUNNING
-        return JobState.RUNNING if self.has_started else JobState.QUEUED
+        may_run = self.has_started or bool(self.inherited_workers())
+        return JobState.RUNNING if may_run else JobState.QUEUED
+
+    @property
+    def has_unstored_start(self) -> bool:
+        """Tell whether the record does not say yet that the job has started.
+
+        It need not while a run is listed by its worker.
+        """
+        return self.has_started and not self.is_start_durable
 
     def ready_stages(self, unix_ms: int) -> Iterator[Stage]:
         """Yield the startable stages with waiting tasks."""
@@ -385,6 +405,7 @@
                 stages[f'{occurrence}.{number}'] = stage.record()
         return ProgressRecord(
             state=self.state,
+            has_started=self.has_started,
             ended_unix_ms=self.ended_unix_ms,
             stages=stages,
         )
@@ -428,6 +449,8 @@
     def _apply_record(self, record: ProgressRecord) -> None:
         self.state = record.state
         self.durable_state = record.state
+        self.has_started = record.has_started
+        self.is_start_durable = record.has_started
         self.ended_unix_ms = record.ended_unix_ms
         if self.state.is_final:
             return
@@ -440,7 +463,10 @@
         occurrence: int,
         stage_records: Mapping[int, StageRecord],
     ) -> None:
-        self.has_started = True
+        if any(
+            stage_record.has_ends for stage_record in stage_records.values()
+        ):
+            self.has_started = True
         step_count = len(self.job.steps)
         found = [stage_records.get(number) for number in range(step_count)]
         if all(stage_record and stage_record.is_done for stage_record in found):
--- a/packages/currantreach-jobs/src/currantreach_jobs/_records.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_records.py
@@ -151,16 +151,24 @@
     failures: dict[int, int] = attrs.field(factory=dict)
     placed: dict[int, Placement] = attrs.field(factory=dict)
 
+    @property
+    def has_ends(self) -> bool:
+        """Tell whether any run has ended as done or failed."""
+        return self.is_done or bool(self.done or self.failures)
+
 
 @attrs.frozen(slots=True, kw_only=True)
 class ProgressRecord:
     """Durable progress of a job; workers may drop the ends that it contains.
 
+    :ivar has_started: whether a worker has confirmed a run of the job. A
+        placement is recorded before its start order and proves no start.
     :ivar ended_unix_ms: Unix time of the final state, 0 before.
     :ivar stages: records by ``<occurrence>.<step>``.
     """
 
     state: JobState = JobState.QUEUED
+    has_started: bool = False
     ended_unix_ms: int = 0
     stages: dict[str, StageRecord] = attrs.field(factory=dict)
 
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -327,7 +327,7 @@
         """Adopt runs of earlier leaders that the lists may not contain."""
         for progress in self._cluster.open_jobs.values():
             for hidden in progress.inherited_runs(self.worker_id):
-                self._cluster.adopt(self.worker_id, hidden)
+                self._cluster.adopt(self.worker_id, hidden, is_listed=False)
 
     def _record_ends(self, reply: HoldReply, is_first_reply: bool) -> None:
         for ended in reply.ended:
@@ -348,7 +348,10 @@
         )
         for run in worker.running():
             found_run = listed.get((run.task, run.attempt))
-            if found_run is not None and found_run.checkpoint:
+            if found_run is None:
+                continue
+            run.stage.job_progress.has_started = True
+            if found_run.checkpoint:
                 task = run.stage.tasks[run.task.index]
                 task.checkpoint = found_run.checkpoint
         for expected in tuple(worker.running()):
