Hold no stages, steps or payload of jobs that have ended

Related to the scheduled jobs that ended each leader by its memory: a leader kept all tasks, steps and payloads of an ended job until its removal, two and a half minutes later. A team that hands in large jobs and cancels them would end each leader in the same way; no deployment has shown it.

Change: an ended job drops its stages at once, and its steps and payload once its end is stored. Its last record carries no stages, as no successor reads them. Runs that are still to be stopped keep their own stage.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
@@ -471,6 +471,7 @@
             stage.waiting.clear()
             if state is not JobState.COMPLETE:
                 self.stop_stage(stage)
+        progress.drop_stages()
         self._mark_changed(progress.job.job_id)
         self._wake()
 
--- a/packages/currantreach-jobs/src/currantreach_jobs/_committer.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_committer.py
@@ -389,6 +389,8 @@
             progress.durable_state = snapshot.state
             progress.is_start_durable = snapshot.has_started
             progress.is_unwritable = False
+            if snapshot.state.is_final and progress.job.steps:
+                progress.drop_work()
 
     def _snapshot(self, job_id: str) -> _Snapshot:
         progress = self.jobs[job_id]
--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -395,6 +395,12 @@
 
     def record(self) -> ProgressRecord:
         """Return the record to store."""
+        if self.state.is_final:
+            return ProgressRecord(
+                state=self.state,
+                has_started=self.has_started,
+                ended_unix_ms=self.ended_unix_ms,
+            )
         stages = {
             f'{occurrence}.{number}': _DONE_STAGE
             for occurrence in sorted(self.done_occurrences)
@@ -422,6 +428,18 @@
         self._open_occurrence(self._next_occurrence)
         return True
 
+    def drop_stages(self) -> None:
+        """Drop all stages, as the job has ended.
+
+        Runs that are still to be stopped keep their own stages.
+        """
+        self.stages.clear()
+        self.done_occurrences.clear()
+
+    def drop_work(self) -> None:
+        """Drop the payload and the steps, as the end of the job is stored."""
+        self.job = attrs.evolve(self.job, payload='', steps=())
+
     def close_if_done(self, occurrence: int) -> None:
         """Drop the stages of an occurrence once all of them are done."""
         keys = [(occurrence, number) for number in range(len(self.job.steps))]
