Record done occurrences by their numbers

Related to the scheduled jobs that ended each leader by its memory: the record of a scheduled job held the record of each stage that was ever done. It is written at each start and each end of a task, and a successor reads all of them. A job with 999 done occurrences of twenty steps had a record of 807,042 bytes, close to the bound of a value in the store, and over a second of a link of 5 Mbit/s; nothing is started in the cell while a record waits for more than 0.6 s.

Change: the record names the occurrences that are done; records of earlier builds are still read.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -27,7 +27,6 @@
 # The result of a job that takes longer than this multiple of its objective is
 # of no use to its caller; the job runs only when no other needs the capacity.
 _DEADLINE_FACTOR = 3
-_DONE_STAGE = StageRecord(is_done=True)
 # Wait after which its reason is logged first. Advice calls and writes of start
 # records take less time under normal load.
 _FIRST_LOG_S = 1
@@ -401,19 +400,16 @@
                 has_started=self.has_started,
                 ended_unix_ms=self.ended_unix_ms,
             )
-        stages = {
-            f'{occurrence}.{number}': _DONE_STAGE
-            for occurrence in sorted(self.done_occurrences)
-            for number in range(len(self.job.steps))
-        }
-        for (occurrence, number), stage in self.stages.items():
-            if stage.has_history:
-                stages[f'{occurrence}.{number}'] = stage.record()
         return ProgressRecord(
             state=self.state,
             has_started=self.has_started,
             ended_unix_ms=self.ended_unix_ms,
-            stages=stages,
+            done_occurrences=tuple(sorted(self.done_occurrences)),
+            stages={
+                f'{occurrence}.{number}': stage.record()
+                for (occurrence, number), stage in self.stages.items()
+                if stage.has_history
+            },
         )
 
     def open_next_due(self, unix_ms: int) -> bool:
@@ -472,8 +468,14 @@
         self.ended_unix_ms = record.ended_unix_ms
         if self.state.is_final:
             return
+        occurrences = range(self.occurrence_total)
+        self.done_occurrences.update(
+            occurrence
+            for occurrence in record.done_occurrences
+            if occurrence in occurrences
+        )
         for occurrence, stage_records in _by_occurrence(record).items():
-            if 0 <= occurrence < self.occurrence_total:
+            if occurrence in occurrences:
                 self._restore_occurrence(occurrence, stage_records)
 
     def _restore_occurrence(
@@ -481,6 +483,8 @@
         occurrence: int,
         stage_records: Mapping[int, StageRecord],
     ) -> None:
+        if occurrence in self.done_occurrences:
+            return
         if any(
             stage_record.has_ends for stage_record in stage_records.values()
         ):
--- a/packages/currantreach-jobs/src/currantreach_jobs/_records.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_records.py
@@ -164,12 +164,15 @@
     :ivar has_started: whether a worker has confirmed a run of the job. A
         placement is recorded before its start order and proves no start.
     :ivar ended_unix_ms: Unix time of the final state, 0 before.
-    :ivar stages: records by ``<occurrence>.<step>``.
+    :ivar done_occurrences: occurrences that are done. The records of all their
+        stages would exceed the size of a value of the store.
+    :ivar stages: records of the other occurrences, by ``<occurrence>.<step>``.
     """
 
     state: JobState = JobState.QUEUED
     has_started: bool = False
     ended_unix_ms: int = 0
+    done_occurrences: tuple[int, ...] = ()
     stages: dict[str, StageRecord] = attrs.field(factory=dict)
 
 
--- a/packages/currantreach-jobs/tests/test_occurrences.py
+++ b/packages/currantreach-jobs/tests/test_occurrences.py
@@ -10,7 +10,11 @@
 from currantreach_jobs import EndedRun, EndKind, JobState
 from currantreach_jobs import _cluster_state as cluster_state
 from currantreach_jobs._load import measure_load
-from currantreach_jobs._records import decode_progress
+from currantreach_jobs._records import (
+    ProgressRecord,
+    StageRecord,
+    decode_progress,
+)
 from currantreach_types import Resources, encode_msgpack, unix_now_ms
 
 ONE = '0' * 16
@@ -23,6 +27,9 @@
 OCCURRENCE_COUNT = 1000
 MAX_BYTES = 64_000_000
 EPOCH_ATTEMPTS = 1000
+# A leader with the least bandwidth, 5 Mbit/s, sends a record of this size in a
+# tenth of the time after which unwritten records stop all starts.
+MAX_RECORD_BYTES = 37_500
 
 
 @pytest.fixture
@@ -150,6 +157,38 @@
     assert offline.cluster.jobs[ONE].state is JobState.COMPLETE
 
 
+def test_record_of_many_done_occurrences_is_small(offline, nightly, wall_clock):
+    """A record that grows with each occurrence delays those of all jobs.
+
+    After 999 occurrences of twenty steps it took 0.8 MB, and it is written at
+    each start and each end of a task.
+    """
+    made = nightly(ONE, STEP_COUNT, OCCURRENCE_COUNT)
+    done = {
+        f'{occurrence}.{number}': StageRecord(is_done=True)
+        for occurrence in range(OCCURRENCE_COUNT - 1)
+        for number in range(STEP_COUNT)
+    }
+    offline.cluster.add_job(made, ProgressRecord(stages=done))
+    stored = encode_msgpack(offline.cluster.jobs[ONE].record())
+    assert len(stored) < MAX_RECORD_BYTES
+    offline.cluster.jobs.clear()
+    offline.cluster.open_jobs.clear()
+    offline.cluster.add_job(made, decode_progress(stored))
+    wall_clock[0] = made.first_run_unix_ms + OCCURRENCE_COUNT * DAY_MS
+    found = {task.occurrence for task in run_all(offline)}
+    assert found == {OCCURRENCE_COUNT - 1}
+
+
+@pytest.mark.parametrize('odd', [-1, 3, 2**60])
+def test_odd_done_occurrence_is_left_out(offline, nightly, wall_clock, odd):
+    """A record must not complete a job by an occurrence it does not have."""
+    made = nightly(ONE)
+    offline.cluster.add_job(made, ProgressRecord(done_occurrences=(0, odd)))
+    wall_clock[0] = made.first_run_unix_ms + 3 * DAY_MS
+    assert [task.occurrence for task in run_all(offline)] == [1, 2]
+
+
 def test_takeover_between_occurrences(run_scenario, job, wait_until):
     """Each occurrence runs once, whichever daemon leads when it is due."""
 
