Bound the memory of the open jobs of a cell

Cause: each job is bounded, all of them together were not. A leader opened all occurrences that were due, and no daemon refused what a leader could not hold.

Change: - The leader estimates the memory of accepted jobs and of open occurrences by team. Each may take a fifth of the memory of the smallest member, whose memory is in its member record, as any member may have to lead. - An occurrence that is due is opened once it fits.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from currantreach_jobs._memory import JobMemory
 from currantreach_jobs._model import EndKind, JobState
 from currantreach_jobs._occurrences import DueOccurrences
 from currantreach_jobs._progress import JobProgress, Run, RunPhase, Stage
@@ -56,6 +57,7 @@
         :ivar largest_rooms: largest amount of each resource that a worker of a
             service has had in this leadership. A worker that is away for a
             moment counts, as it comes back.
+        :ivar memory: estimated memory of the open jobs.
         :ivar pending_stops: runs to be stopped, not yet sent to their workers.
         :ivar jobs_loaded: set once all accepted jobs are loaded.
         :ivar count_retry: counts a retry, by its reason.
@@ -72,7 +74,8 @@
         self.quarantined = QuarantinedJobs(self.teams)
         self.team_rates = TeamRates()
         self.pending_stops: list[Run] = []
-        self._due_occurrences = DueOccurrences()
+        self.memory = JobMemory()
+        self._due_occurrences = DueOccurrences(self.memory)
         self.jobs_loaded = asyncio.Event()
         self._clock = clock
         self._mark_changed = mark_changed
@@ -117,6 +120,7 @@
         self.jobs[job.job_id] = progress
         if not progress.state.is_final:
             self.open_jobs[job.job_id] = progress
+            self.memory.add(progress)
             self._due_occurrences.add(progress, unix_now_ms())
         self._wake()
 
@@ -409,6 +413,7 @@
                 worker=worker_id,
             )
             progress.close_if_done(stage.occurrence)
+            self.memory.update(progress)
         if progress.is_all_done():
             self._end_job(progress, JobState.COMPLETE)
         self._wake()
@@ -456,6 +461,7 @@
         progress.state = state
         self.open_jobs.pop(progress.job.job_id, None)
         self._due_occurrences.discard(progress.job.job_id)
+        self.memory.discard(progress.job.job_id)
         progress.ended_unix_ms = unix_now_ms()
         self._metrics.record_request_end(progress.job.queue.name, state)
         log_event(
--- a/packages/currantreach-jobs/src/currantreach_jobs/_coordinator.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_coordinator.py
@@ -6,6 +6,7 @@
 import secrets
 from typing import TYPE_CHECKING
 
+from currantreach_jobs._memory import MIN_LIMIT_BYTES
 from currantreach_jobs._messages import CellViewReply
 from currantreach_jobs._records import (
     CELL_PREFIX,
@@ -227,6 +228,14 @@
         best_delay_s = min(delays_s, default=own_delay_s)
         return best_delay_s < own_delay_s - _MIN_ADVANTAGE_S
 
+    def job_memory_bytes(self) -> int:
+        """Return how much memory each member can spare for open jobs."""
+        known = [
+            member.job_memory_bytes for member in self._member_records.values()
+        ]
+        least = min(filter(None, [self._settings.job_memory_bytes, *known]))
+        return max(MIN_LIMIT_BYTES, least)
+
     def is_in_same_domain(self, member: str) -> bool:
         """Tell whether a member is in the failure domain of this daemon."""
         known = self._member_records.get(member)
@@ -326,6 +335,7 @@
             address=self.address,
             campaign_delay_s=self._settings.campaign_delay_s,
             failure_domain=self._settings.failure_domain,
+            job_memory_bytes=self._settings.job_memory_bytes,
         )
         await self._store.commit(
             {},
--- a/packages/currantreach-jobs/src/currantreach_jobs/_daemon.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_daemon.py
@@ -122,6 +122,15 @@
             ),
             'reason',
         )
+        dependencies.metrics.add_gauge(
+            'currantreach_job_memory_bytes',
+            lambda: (
+                self.scheduler.cluster.memory.by_kind()
+                if self.scheduler
+                else {}
+            ),
+            'kind',
+        )
         dependencies.metrics.add_gauge(
             'currantreach_workers',
             lambda: self.scheduler.worker_counts() if self.scheduler else {},
--- a/packages/currantreach-jobs/src/currantreach_jobs/_job_scheduler.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_job_scheduler.py
@@ -124,6 +124,7 @@
             dependencies.metrics,
         )
         self._committer.jobs = self.cluster.jobs
+        self.cluster.memory.limit_bytes = coordinator.job_memory_bytes()
         self._sessions: dict[str, WorkerSession] = {}
         self.wait_monitor = WaitMonitor(self.cluster, clock, self._sessions)
         self._advice_dispatcher = AdviceDispatcher(
@@ -183,6 +184,9 @@
         now_s = self._clock.now_s()
         if now_s > self._load_measured_at_s + _LOAD_MAX_AGE_S:
             self._load_measured_at_s = now_s
+            self.cluster.memory.limit_bytes = (
+                self._coordinator.job_memory_bytes()
+            )
             self._load = measure_load(self.cluster, now_s)
         return self._load
 
--- a/packages/currantreach-jobs/src/currantreach_jobs/_load.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_load.py
@@ -7,15 +7,24 @@
 
 import attrs
 
+from currantreach_jobs._bounds import MAX_INTEGER
+from currantreach_jobs._memory import accepted_bytes
 from currantreach_jobs._progress import resource_demand
 from currantreach_types import Resources
 
 if TYPE_CHECKING:
     from currantreach_jobs._cluster_state import ClusterState
+    from currantreach_jobs._memory import TeamBytes
     from currantreach_jobs._model import Job
     from currantreach_jobs._progress import JobProgress
 
-__all__ = ('Load', 'fits_no_worker', 'measure_load', 'wait_before_retry_s')
+__all__ = (
+    'Load',
+    'exceeds_memory',
+    'fits_no_worker',
+    'measure_load',
+    'wait_before_retry_s',
+)
 
 _MILLI = 1000
 # Beyond its share a team may use idle capacity only, and there is none with
@@ -27,6 +36,9 @@
 # A caller is asked to retry after at most this time, as the load changes
 # faster.
 _MAX_RETRY_S = 15
+# Teams that use less than this part of the memory for jobs are not named, so
+# that the load stays a short message.
+_LARGE_TEAM_DIVISOR = 50
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -38,6 +50,8 @@
     :ivar wait_s: time to do all waiting work.
     :ivar teams_over_share: teams that have submitted more than their share.
     :ivar largest_rooms: largest amounts of resources of a worker by service.
+    :ivar free_bytes: memory that is left for further jobs.
+    :ivar bytes_by_team: memory of the jobs of the teams that use much of it.
     """
 
     urgent_wait_s: float = 0
@@ -45,6 +59,8 @@
     wait_s: float = 0
     teams_over_share: frozenset[str] = frozenset()
     largest_rooms: Mapping[str, Resources] = attrs.field(factory=dict)
+    free_bytes: int = MAX_INTEGER
+    bytes_by_team: Mapping[str, int] = attrs.field(factory=dict)
 
 
 def measure_load(cluster: ClusterState, now_s: float) -> Load:
@@ -68,14 +84,22 @@
         share_core_s += work_core_s
         if not progress.job.queue.priority:
             urgent_core_s += work_core_s
+    memory = cluster.memory
+    load = Load(
+        largest_rooms=dict(cluster.largest_rooms),
+        free_bytes=max(0, memory.limit_bytes - memory.accepted.total_bytes),
+        bytes_by_team=memory.accepted.large_teams(
+            memory.limit_bytes // _LARGE_TEAM_DIVISOR
+        ),
+    )
     if not core_count:
-        return Load(largest_rooms=dict(cluster.largest_rooms))
-    return Load(
+        return load
+    return attrs.evolve(
+        load,
         urgent_wait_s=urgent_core_s / core_count,
         share_wait_s=share_core_s / core_count,
         wait_s=all_core_s / core_count,
         teams_over_share=frozenset(cluster.team_rates.teams_over_share(now_s)),
-        largest_rooms=dict(cluster.largest_rooms),
     )
 
 
@@ -87,6 +111,17 @@
     return any(not resource_demand(step).fits_in(largest) for step in job.steps)
 
 
+def exceeds_memory(load: Load, job: Job, unreported: TeamBytes) -> bool:
+    """Tell whether a leader might not hold a job beside all others.
+
+    :param unreported: jobs that were accepted after the load was measured.
+    """
+    reported_bytes = load.bytes_by_team.get(job.team, 0)
+    return not unreported.fits(
+        job.team, accepted_bytes(job), load.free_bytes - reported_bytes
+    )
+
+
 def wait_before_retry_s(load: Load, job: Job) -> float:
     """Return after what time a caller may retry, 0 if its job is accepted."""
     bound_s = _MAX_WAIT_FACTOR * job.objective_s()
--- a/packages/currantreach-jobs/src/currantreach_jobs/_messages.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_messages.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from currantreach_jobs._bounds import amount
+from currantreach_jobs._bounds import MAX_INTEGER, amount
 from currantreach_jobs._model import Job, JobState
 from currantreach_jobs._records import LeaderRecord
 from currantreach_types import Resources
@@ -61,6 +61,8 @@
     wait_s: float = attrs.field(default=0, validator=amount)
     ahead_teams: tuple[str, ...] = ()
     largest_rooms: dict[str, Resources] = attrs.field(factory=dict)
+    free_bytes: int = attrs.field(default=MAX_INTEGER, validator=amount)
+    bytes_by_team: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen(slots=True, kw_only=True)
--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -304,6 +304,7 @@
     objective_s: float = 0
     stages: dict[tuple[int, int], Stage] = attrs.field(factory=dict)
     done_occurrences: set[int] = attrs.field(factory=set)
+    # No occurrence below this number has to be opened any more.
     _next_occurrence: int = attrs.field(default=0, init=False)
 
     @property
@@ -318,6 +319,11 @@
             self._next_occurrence += 1
         return self._next_occurrence < self.occurrence_total
 
+    @property
+    def open_occurrence_count(self) -> int:
+        """Return the number of open occurrences."""
+        return len(self.stages) // max(1, len(self.job.steps))
+
     @property
     def visible_state(self) -> JobState:
         """Return the state to show to callers; a final one has to be stored."""
@@ -412,17 +418,15 @@
             },
         )
 
-    def open_next_due(self, unix_ms: int) -> bool:
-        """Open the first unopened occurrence, if it is due.
+    def is_next_due(self, unix_ms: int) -> bool:
+        """Tell whether the first unopened occurrence is due, if any."""
+        return self.has_unopened_occurrences and self.is_due(
+            self._next_occurrence, unix_ms
+        )
 
-        :returns: whether an occurrence was opened.
-        """
-        if not self.has_unopened_occurrences:
-            return False
-        if not self.is_due(self._next_occurrence, unix_ms):
-            return False
+    def open_next(self) -> None:
+        """Open the first unopened occurrence."""
         self._open_occurrence(self._next_occurrence)
-        return True
 
     def drop_stages(self) -> None:
         """Drop all stages, as the job has ended.
--- a/packages/currantreach-jobs/src/currantreach_jobs/_records.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_records.py
@@ -82,11 +82,14 @@
 
     :ivar address: address of its link server.
     :ivar campaign_delay_s: how long it delays its campaign for the leadership.
+    :ivar job_memory_bytes: memory that its host can spare for open jobs, 0 if
+        it is not known.
     """
 
     address: str
     campaign_delay_s: float = attrs.field(default=0, validator=amount)
     failure_domain: str = ''
+    job_memory_bytes: int = attrs.field(default=0, validator=amount)
 
 
 @attrs.frozen(slots=True, kw_only=True)
--- a/packages/currantreach-jobs/src/currantreach_jobs/_settings.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_settings.py
@@ -14,6 +14,8 @@
 _LEADER_MBPS = 100
 # Lower bound of the relative capacity, so that the delay stays finite.
 _MIN_CAPACITY = 0.01
+# Part of the memory of a process that accepted jobs may take.
+_JOB_MEMORY_DIVISOR = 5
 # A running host of higher capacity wins an election within this time.
 _DELAY_STEP_S = 0.3
 
@@ -43,6 +45,7 @@
     :ivar failure_domain: failure domain of this host.
     :ivar core_count: processor time of the host, in cores.
     :ivar link_mbps: bandwidth of the host's link.
+    :ivar memory_bytes: memory that the process may use.
     """
 
     leader_lease_s: float = 1.4
@@ -59,6 +62,16 @@
     failure_domain: str = ''
     core_count: float = 1
     link_mbps: float = 1000
+    memory_bytes: int = 200_000_000
+
+    @property
+    def job_memory_bytes(self) -> int:
+        """Return how much memory accepted jobs may take, and open ones again.
+
+        The process itself takes 60 MB, and reading all records of a cell after
+        an election as much again.
+        """
+        return self.memory_bytes // _JOB_MEMORY_DIVISOR
 
     @property
     def campaign_delay_s(self) -> float:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_submissions.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_submissions.py
@@ -10,9 +10,11 @@
 
 from currantreach_jobs._load import (
     Load,
+    exceeds_memory,
     fits_no_worker,
     wait_before_retry_s,
 )
+from currantreach_jobs._memory import TeamBytes, accepted_bytes
 from currantreach_jobs._messages import (
     AnnounceReply,
     CancelRequest,
@@ -69,6 +71,9 @@
 # Time after which a caller may retry when the store is unavailable; the store
 # is tried again about then.
 _STORE_RETRY_S = 1
+# Time after which a caller may retry when the open jobs take all memory for
+# them. It becomes free when jobs end, and most of them take that long.
+_MEMORY_RETRY_S = 15
 
 
 class Outcome(enum.Enum):
@@ -80,6 +85,7 @@
     ID_REUSED = 'id_reused'
     NEVER_FITS = 'never_fits'
     OVERLOADED = 'overloaded'
+    MEMORY_FULL = 'memory_full'
     STORE_UNAVAILABLE = 'store_unavailable'
     UNKNOWN = 'unknown'
 
@@ -108,6 +114,12 @@
 )
 
 
+_MEMORY_FULL = CallerResponse(
+    outcome=Outcome.MEMORY_FULL,
+    retry_after_s=_MEMORY_RETRY_S,
+)
+
+
 _UNREADABLE = CallerResponse(outcome=Outcome.UNKNOWN, is_record_unreadable=True)
 
 
@@ -152,6 +164,8 @@
         self._get_scheduler = get_scheduler
         self._read_config = read_config
         self.load = Load()
+        # Jobs accepted here that the leader's last load does not include.
+        self._unreported = TeamBytes()
         self._store_backoff_until_s: float = 0
         self._store_unanswered_at_s: float = 0
         self._isolated_until_s: float = 0
@@ -172,6 +186,8 @@
                     outcome=Outcome.OVERLOADED, retry_after_s=wait_s
                 ),
             )
+        if exceeds_memory(self.load, job, self._unreported):
+            return await self._refuse(job, _MEMORY_FULL)
         return await self._write_or_forward(
             job.job_id,
             lambda: self.submit_locally(job),
@@ -208,6 +224,7 @@
                     steps=len(job.steps),
                     tasks=sum(step.task_count for step in job.steps),
                 )
+                self._unreported.add(job.team, accepted_bytes(job))
                 self._announce(stamped)
                 return CallerResponse(outcome=Outcome.ACCEPTED)
             return await self._reply_to_repeat(job)
@@ -256,13 +273,15 @@
         while True:
             await asyncio.sleep(_LOAD_INTERVAL_S)
             reply = await self._ask_load()
-            self.load = Load(
-                urgent_wait_s=reply.urgent_wait_s,
-                share_wait_s=reply.share_wait_s,
-                wait_s=reply.wait_s,
-                teams_over_share=frozenset(reply.ahead_teams),
-                largest_rooms=reply.largest_rooms,
-            )
+            if reply.is_deciding:
+                self._unreported = TeamBytes()
+                self.load = _load_of(reply)
+            else:
+                # The open jobs are still there when a new leader decides.
+                self.load = Load(
+                    free_bytes=self.load.free_bytes,
+                    bytes_by_team=self.load.bytes_by_team,
+                )
 
     def answer_load(self) -> LoadReply:
         """Return the load, if this daemon is the leader."""
@@ -277,6 +296,8 @@
             wait_s=load.wait_s,
             ahead_teams=tuple(load.teams_over_share),
             largest_rooms=dict(load.largest_rooms),
+            free_bytes=load.free_bytes,
+            bytes_by_team=dict(load.bytes_by_team),
         )
 
     async def _refuse(
@@ -305,6 +326,7 @@
             urgent_wait_s=round(self.load.urgent_wait_s, 2),
             share_wait_s=round(self.load.share_wait_s, 2),
             wait_s=round(self.load.wait_s, 2),
+            free_bytes=self.load.free_bytes,
             retry_after_s=round(refusal.retry_after_s, 1),
         )
         return refusal
@@ -498,6 +520,18 @@
         )
 
 
+def _load_of(reply: LoadReply) -> Load:
+    return Load(
+        urgent_wait_s=reply.urgent_wait_s,
+        share_wait_s=reply.share_wait_s,
+        wait_s=reply.wait_s,
+        teams_over_share=frozenset(reply.ahead_teams),
+        largest_rooms=reply.largest_rooms,
+        free_bytes=reply.free_bytes,
+        bytes_by_team=reply.bytes_by_team,
+    )
+
+
 def _forwarded_outcome(reply: ForwardReply) -> Outcome:
     """Return the outcome of a forwarded call, unknown if it is unreadable."""
     if reply.outcome in _OUTCOMES:
--- a/packages/currantreach-jobs/tests/test_advice.py
+++ b/packages/currantreach-jobs/tests/test_advice.py
@@ -52,7 +52,7 @@
         )
         made = attrs.evolve(job('j', count, needed=TASK, **step), queue=queue)
         progress = JobProgress(job=made, attempt_base=0, accepted_at_s=0)
-        progress.open_next_due(0)
+        progress.open_next()
         return progress.stages[0, 0]
 
     return make
