Show a started job as running while no leader answers

Seen by callers: while no leader answers, the state comes from the store, and a job that runs was shown as queued. The record of an open job has no state of its own for that; the leader derives it.

Change: the record's visible state is running if it has a start, an end or a placement. The limit of the memory for jobs no longer fails on a host whose own part is zero.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_coordinator.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_coordinator.py
@@ -231,9 +231,11 @@
     def job_memory_bytes(self) -> int:
         """Return how much memory each member can spare for open jobs."""
         known = [
-            member.job_memory_bytes for member in self._member_records.values()
+            member.job_memory_bytes
+            for member in self._member_records.values()
+            if member.job_memory_bytes
         ]
-        least = min(filter(None, [self._settings.job_memory_bytes, *known]))
+        least = min([self._settings.job_memory_bytes, *known])
         return max(MIN_LIMIT_BYTES, least)
 
     def is_in_same_domain(self, member: str) -> bool:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_job_queries.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_job_queries.py
@@ -156,7 +156,7 @@
 def _stored_state(job_id: str, progress: KeyValue) -> JobState:
     """Return the state in a record; running if the record is unreadable."""
     try:
-        return decode_progress(progress.stored).state
+        return decode_progress(progress.stored).visible_state
     except MalformedMessageError as error:
         log_warning('progress_unreadable', job=job_id, error=error)
         return JobState.RUNNING
--- a/packages/currantreach-jobs/src/currantreach_jobs/_records.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_records.py
@@ -178,6 +178,17 @@
     done_occurrences: tuple[int, ...] = ()
     stages: dict[str, StageRecord] = attrs.field(factory=dict)
 
+    @property
+    def visible_state(self) -> JobState:
+        """Return the state to show while no leader answers.
+
+        A job with a recorded placement is shown as running, as it may run.
+        """
+        if self.state.is_final:
+            return self.state
+        may_run = self.has_started or bool(self.done_occurrences or self.stages)
+        return JobState.RUNNING if may_run else JobState.QUEUED
+
 
 def job_key(job_id: str) -> str:
     """Return the key of an accepted job."""
--- a/packages/currantreach-jobs/tests/test_pending_counts.py
+++ b/packages/currantreach-jobs/tests/test_pending_counts.py
@@ -125,6 +125,31 @@
     run_scenario(scenario)
 
 
+def test_running_job_is_shown_as_running_without_a_leader(
+    run_scenario, job, wait_until
+):
+    """A job that runs was shown as queued while no leader answered."""
+
+    async def scenario(fleet, cell):
+        worker = fleet.add('w1')
+        fleet.work_s = 30
+        for name in ('a', 'b'):
+            cell.start(name)
+        await wait_until(lambda: leader_of(cell))
+        leader = leader_of(cell)
+        await leader.submissions.submit(job(ONE))
+        await wait_until(lambda: worker.running)
+        other = next(
+            daemon for daemon in cell.daemons.values() if daemon is not leader
+        )
+        leader.kill()
+        state = await other.job_queries.state(ONE, QUEUE, 'orchard')
+        assert leader_of(cell) is None
+        assert state is JobState.RUNNING
+
+    run_scenario(scenario)
+
+
 def test_unresolved_placement_counts_as_pending(offline, job):
     """A silent worker may have refused the start, so the job may be pending.
 
