Store a lost start only if no other run follows it

The record of a job was written whenever a run was lost or cut short before its start was recorded. After the loss of many workers the placements of the next runs then waited behind these writes, though they record the start as well.

Change: the leader stores such a start in its clean-up of records, every five seconds, and only if the job has no run then.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
@@ -243,9 +243,6 @@
         self._metrics.record_retry('run_lost')
         _log_run('run_lost', run, run.worker_id)
         self._deallocate(run)
-        progress = run.stage.job_progress
-        if progress.has_unstored_start:
-            self._mark_changed(progress.job.job_id)
         if run.stage.step.is_gang:
             self.stop_stage(run.stage)
 
@@ -357,8 +354,6 @@
         else:
             self._metrics.record_retry(f'run_{ended.kind}')
             _log_run('run_cut_short', ended, worker_id, how=ended.kind)
-            if stage.job_progress.has_unstored_start:
-                self._mark_changed(ended.task.job_id)
             if stage.step.is_gang:
                 self.stop_stage(stage)
 
--- a/packages/currantreach-jobs/src/currantreach_jobs/_job_scheduler.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_job_scheduler.py
@@ -65,8 +65,8 @@
 # Pause after a failed write of the fleet record; no new worker is used until it
 # is written.
 _RETRY_S = 0.2
-# Interval of the removal of expired jobs, a small fraction of their retention
-# time.
+# Interval of the cleanup of records, a small fraction of the retention time of
+# ended jobs.
 _CLEANUP_INTERVAL_S = 5
 # A leader checks this often whether another host is better suited to lead, as
 # it may have been elected while no such host was a member.
@@ -228,7 +228,7 @@
             'jobs': watcher.follow,
             'directory': self._dependencies.directory.follow,
             'workers': self._follow_directory,
-            'cleanup': self._remove_expired_jobs,
+            'cleanup': self._clean_up_records,
             'candidates': self._yield_to_better_candidate,
         }
         tasks = [self._start_part(name, run) for name, run in parts.items()]
@@ -520,10 +520,13 @@
                 log_event('resigned_to_stronger', epoch=self.leadership.epoch)
                 await self.resign()
 
-    async def _remove_expired_jobs(self) -> None:
-        """Remove ended jobs from the store after their retention time."""
+    async def _clean_up_records(self) -> None:
+        """Store unrecorded starts, and remove ended jobs from the store."""
         while True:
             await asyncio.sleep(_CLEANUP_INTERVAL_S)
+            for progress in self.cluster.open_jobs.values():
+                if progress.has_unrecorded_start():
+                    self._committer.mark_dirty(progress.job.job_id)
             keep_ms = round(self._settings.ended_job_retention_s * _MS_PER_S)
             limit_ms = unix_now_ms() - keep_ms
             ended = [
--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -333,14 +333,6 @@
         may_run = self.has_started or bool(self.inherited_workers())
         return JobState.RUNNING if may_run else JobState.QUEUED
 
-    @property
-    def has_unstored_start(self) -> bool:
-        """Tell whether the record does not say yet that the job has started.
-
-        It need not while a run is listed by its worker.
-        """
-        return self.has_started and not self.is_start_durable
-
     def ready_stages(self, unix_ms: int) -> Iterator[Stage]:
         """Yield the startable stages with waiting tasks."""
         for stage in self.pending_stages(unix_ms):
@@ -375,6 +367,20 @@
             for index in stage.inherited_on(worker_id)
         ]
 
+    def has_unrecorded_start(self) -> bool:
+        """Tell whether neither a record nor a run shows a start of the job.
+
+        A run that is lost or cut short is normally followed by the next one,
+        whose placement is recorded together with the earlier start.
+        """
+        if self.is_start_durable or not self.has_started:
+            return False
+        return not any(
+            task.run is not None
+            for stage in self.stages.values()
+            for task in stage.tasks
+        )
+
     def is_past_deadline(self, now_s: float) -> bool:
         """Tell whether the job is too late to be of use to its caller."""
         age_s = now_s - self.accepted_at_s
