Share the look-up of the scheduling daemon between tests

The tests of occurrences and of pending counts each had a copy of it; it is a method of the fake cell now. The one of test_lost_workers.py stays, as it also finds a leader that has not recovered yet. No check changes.

--- a/packages/currantreach-jobs/tests/conftest.py
+++ b/packages/currantreach-jobs/tests/conftest.py
@@ -768,6 +768,13 @@
         self.daemons[name] = daemon
         return daemon
 
+    def scheduling_daemon(self):
+        """Return the leader once it has recovered the jobs, if there is one."""
+        for daemon in self.daemons.values():
+            if daemon.scheduler is not None and daemon.scheduler.is_ready:
+                return daemon
+        return None
+
     def close(self):
         """Kill all daemons."""
         for daemon in self.daemons.values():
--- a/packages/currantreach-jobs/tests/test_occurrences.py
+++ b/packages/currantreach-jobs/tests/test_occurrences.py
@@ -196,30 +196,22 @@
         fleet.add('w1')
         for name in ('a', 'b'):
             cell.start(name)
-        await wait_until(lambda: leader_of(cell))
+        await wait_until(lambda: cell.scheduling_daemon())
         made = attrs.evolve(
             job(ONE, count=2),
             occurrence_count=20,
             first_run_unix_ms=1,
             interval_ms=1,
         )
-        await leader_of(cell).submissions.submit(made)
+        await cell.scheduling_daemon().submissions.submit(made)
         await wait_until(lambda: len(fleet.done) > 4)
-        leader_of(cell).kill()
+        cell.scheduling_daemon().kill()
         await wait_until(lambda: len(fleet.done) == 40, timeout_s=60)
         assert set(fleet.done.values()) == {1}
 
     run_scenario(scenario)
 
 
-def leader_of(cell):
-    """Return the daemon that schedules, if there is one."""
-    for daemon in cell.daemons.values():
-        if daemon.scheduler is not None and daemon.scheduler.is_ready:
-            return daemon
-    return None
-
-
 def test_future_occurrences_are_no_waiting_work(offline, nightly):
     """An idle cell refused all jobs because of work that is due much later."""
     offline.cluster.add_job(nightly(ONE, occurrence_count=900, estimate_s=900))
--- a/packages/currantreach-jobs/tests/test_pending_counts.py
+++ b/packages/currantreach-jobs/tests/test_pending_counts.py
@@ -26,17 +26,9 @@
 )
 
 
-def leader_of(cell):
-    """Return the daemon that schedules, if there is one."""
-    for daemon in cell.daemons.values():
-        if daemon.scheduler is not None and daemon.scheduler.is_ready:
-            return daemon
-    return None
-
-
 def count_pending(cell):
     """Return how many jobs the leader counts as not started."""
-    return leader_of(cell).scheduler.cluster.pending_count(QUEUE)
+    return cell.scheduling_daemon().scheduler.cluster.pending_count(QUEUE)
 
 
 @pytest.fixture
@@ -44,8 +36,8 @@
     """Return a function that kills the leader and waits for the next one."""
 
     async def replace(cell):
-        leader_of(cell).kill()
-        await wait_until(lambda: leader_of(cell))
+        cell.scheduling_daemon().kill()
+        await wait_until(lambda: cell.scheduling_daemon())
 
     return replace
 
@@ -64,17 +56,17 @@
         worker.refusal = StartAnswer.UNHEALTHY
         for name in ('a', 'b'):
             cell.start(name)
-        await wait_until(lambda: leader_of(cell))
+        await wait_until(lambda: cell.scheduling_daemon())
         for number in range(4):
             made = job(f'{number:016x}')
-            await leader_of(cell).submissions.submit(made)
+            await cell.scheduling_daemon().submissions.submit(made)
         await asyncio.sleep(1)
         assert count_pending(cell) == 4
         await replace_leader(cell)
         for _ in range(20):
             assert count_pending(cell) == 4
             await asyncio.sleep(0.1)
-        queries = leader_of(cell).job_queries
+        queries = cell.scheduling_daemon().job_queries
         state = await queries.state(ONE, QUEUE, 'orchard')
         assert state is JobState.QUEUED
         worker.refusal = None
@@ -94,8 +86,8 @@
         fleet.work_s = 30
         for name in ('a', 'b'):
             cell.start(name)
-        await wait_until(lambda: leader_of(cell))
-        await leader_of(cell).submissions.submit(job(ONE))
+        await wait_until(lambda: cell.scheduling_daemon())
+        await cell.scheduling_daemon().submissions.submit(job(ONE))
         await wait_until(lambda: fleet.starts)
         await replace_leader(cell)
         await wait_until(lambda: not count_pending(cell), timeout_s=1)
@@ -113,8 +105,8 @@
         fleet.work_s = 30
         for name in ('a', 'b'):
             cell.start(name)
-        await wait_until(lambda: leader_of(cell))
-        await leader_of(cell).submissions.submit(job(ONE))
+        await wait_until(lambda: cell.scheduling_daemon())
+        await cell.scheduling_daemon().submissions.submit(job(ONE))
         await wait_until(lambda: worker.running)
         await asyncio.sleep(0.5)
         worker.refusal = StartAnswer.UNHEALTHY
@@ -137,8 +129,8 @@
         fleet.work_s = 30
         for name in ('a', 'b'):
             cell.start(name)
-        await wait_until(lambda: leader_of(cell))
-        leader = leader_of(cell)
+        await wait_until(lambda: cell.scheduling_daemon())
+        leader = cell.scheduling_daemon()
         await leader.submissions.submit(job(ONE))
         await wait_until(lambda: worker.running)
         other = next(
@@ -146,7 +138,7 @@
         )
         leader.kill()
         state = await other.job_queries.state(ONE, QUEUE, 'orchard')
-        assert leader_of(cell) is None
+        assert cell.scheduling_daemon() is None
         assert state is JobState.RUNNING
 
     run_scenario(scenario)
