--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -305,6 +305,8 @@
                 'worker_restarted',
                 worker=self.worker_id,
                 born_unix_ms=reply.born_unix_ms,
+                clock_ms=reply.clock_ms,
+                expected_ms=self._worker_clock_ms(self._clock.now_s()),
             )
         self._born_unix_ms = reply.born_unix_ms
         self._recorded_through = 0
