Wait for the lease of a stray order after a worker has restarted

Callers saw a task run twice at the same time (TWICE): a worker restarted under its old id, got a task, and was cut off. The leader started the task elsewhere 6.9 s after its last order, and the worker ran it for up to 10 s after an earlier one.

Cause: an order that is sent before the leader knows of a restart carries a deadline on the clock of the former process. If the clock of the new process is behind, that deadline is far ahead, and the worker shortens the lease to its limit, 10 s here. All later runs there share that lease. The leader took its own lease of 6 s as the bound.

Once a restart is noticed, the wait covers the longest lease that a worker grants, counted from then on (stray_lease_s).

--- a/packages/currantreach-jobs/src/currantreach_jobs/_settings.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_settings.py
@@ -38,6 +38,8 @@
     :ivar clock_drift: fraction by which the clock of a worker may be slow.
     :ivar long_poll_s: how long a worker may delay its reply to a lease renewal
         until a run ends (long polling); leases are renewed in this interval.
+    :ivar lease_limit_s: longest lease that a worker grants, whatever deadline
+        an order carries.
     :ivar call_timeout_s: timeout of a call to a worker, beyond such a delay.
     :ivar gang_wait_s: time after which the members of a gang give up.
     :ivar ended_job_retention_s: retention time of ended jobs.
@@ -55,6 +57,7 @@
     lease_grace_s: float = 3
     clock_drift: float = 0.03
     long_poll_s: float = 1
+    lease_limit_s: float = 6
     call_timeout_s: float = 0.7
     gang_wait_s: float = 3
     ended_job_retention_s: float = 150
@@ -101,6 +104,16 @@
         """Return an upper bound of the real duration of a worker lease."""
         return self.run_lease_s * (1 + self.clock_drift) + self.call_timeout_s
 
+    @property
+    def stray_lease_s(self) -> float:
+        """Return an upper bound of the lease that a stray order extends.
+
+        A stray order was meant for an earlier process of the worker and reaches
+        a later one. Its deadline is a reading of another clock, so only the
+        limit of the worker bounds the lease from its arrival on.
+        """
+        return self.lease_limit_s * (1 + self.clock_drift) + self.call_timeout_s
+
 
 @attrs.define(slots=True, kw_only=True, eq=False)
 class Leadership:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -275,7 +275,7 @@
                 now_s + self._settings.max_lease_s,
             )
         if reply.born_unix_ms != self._born_unix_ms:
-            self._handle_restart(reply)
+            self._handle_restart(reply, now_s)
         self._clock_ms = reply.clock_ms
         self._clock_read_s = now_s
         self._has_listed_ends = bool(reply.ended)
@@ -299,14 +299,19 @@
         self._silent_since_s = None
         self._releases.end_release(self.worker_id)
 
-    def _handle_restart(self, reply: HoldReply) -> None:
+    def _handle_restart(self, reply: HoldReply, now_s: float) -> None:
         if self._born_unix_ms:
+            # Orders meant for the former process may have reached this one.
+            self.leases_expire_at_s = max(
+                self.leases_expire_at_s,
+                now_s + self._settings.stray_lease_s,
+            )
             log_event(
                 'worker_restarted',
                 worker=self.worker_id,
                 born_unix_ms=reply.born_unix_ms,
                 clock_ms=reply.clock_ms,
-                expected_ms=self._worker_clock_ms(self._clock.now_s()),
+                expected_ms=self._worker_clock_ms(now_s),
             )
         self._born_unix_ms = reply.born_unix_ms
         self._recorded_through = 0
--- a/packages/currantreach-jobs/tests/conftest.py
+++ b/packages/currantreach-jobs/tests/conftest.py
@@ -324,8 +324,9 @@
 
     ``silent`` drops every call, ``unreachable_from`` names the hosts whose
     calls are dropped, ``drops_answers`` loses the answers, ``late_starts``
-    counts starts without an answer that :meth:`carry_out` carries out, and
-    ``faults`` are exceptions that the next calls of a kind raise.
+    counts starts without an answer that :meth:`carry_out` carries out,
+    ``lease_limit_s`` is the longest lease that it grants, and ``faults`` are
+    exceptions that the next calls of a kind raise.
     """
 
     def __init__(self, fleet, worker_id, rate=1):
@@ -338,6 +339,7 @@
         self.faults = collections.defaultdict(list)
         self.late_starts = 0
         self.delayed = []
+        self.lease_limit_s = 10
         self.refusal = None
         self.fails = False
         self.stop_s = STOP_S
@@ -411,6 +413,11 @@
         self.token = token
         return True
 
+    def extend_lease(self, deadline_ms):
+        """Extend the lease up to a deadline, within the limit."""
+        limit_ms = self.clock_ms() + self.lease_limit_s * 1000
+        self.deadline_ms = max(self.deadline_ms, min(deadline_ms, limit_ms))
+
     def start(self, order):
         """Start a run with the checks that the platform documents."""
         self.advance()
@@ -425,7 +432,7 @@
             return StartAnswer.SUPERSEDED
         if order.worker_deadline_ms < self.clock_ms():
             return StartAnswer.LATE
-        self.deadline_ms = max(self.deadline_ms, order.worker_deadline_ms)
+        self.extend_lease(order.worker_deadline_ms)
         self.running[key] = Running(
             order,
             self.fleet.clock.now_s() + self.fleet.work_s,
@@ -456,7 +463,7 @@
             return HoldReply(clock_ms=0, born_unix_ms=0, is_fenced=True)
         self.fleet.record_acknowledged(self, acked_through)
         self.ended = [end for end in self.ended if end.number > acked_through]
-        self.deadline_ms = max(self.deadline_ms, deadline_ms)
+        self.extend_lease(deadline_ms)
         return HoldReply(
             clock_ms=self.clock_ms(),
             born_unix_ms=self.born,
@@ -591,6 +598,10 @@
             if self.allowed is None or name in self.allowed
         )
 
+    def job_ids_on(self, worker_id):
+        """Return the ids of the jobs that run on a worker."""
+        return {task.job_id for task, _ in self.workers[worker_id].running}
+
     def resources_of(self, task):
         """Return the resources that a task needs, from its stored job."""
         key = task.job_id, task.step
--- /dev/null
+++ b/packages/currantreach-jobs/tests/test_reborn_workers.py
@@ -0,0 +1,80 @@
+"""Workers that restart under the same id and get orders meant for before.
+
+An order that was sent before a restart may reach the new process of a worker.
+Its deadline is a reading of the former clock. If the new clock is behind, the
+lease lasts as long as the worker permits.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+import pytest
+
+from currantreach_jobs import JobSettings
+
+LEASE_LIMIT_S = 10
+# The clock of the first process is this far ahead of that of the second one.
+FIRST_PROCESS_S = 60
+# Longer than any wait for an expired lease.
+WORK_S = 40
+STRAY_JOB = '0' * 16
+LATER_JOB = '1' * 16
+
+
+@pytest.fixture
+def start_cell(wait_until):
+    """Return a function that starts a cell with a worker of some age."""
+
+    async def start(fleet, cell):
+        cell.settings = attrs.evolve(JobSettings(), lease_limit_s=LEASE_LIMIT_S)
+        fleet.work_s = WORK_S
+        worker = fleet.add('w1')
+        worker.lease_limit_s = LEASE_LIMIT_S
+        daemon = cell.start('a')
+        await wait_until(lambda: daemon.scheduler and daemon.scheduler.is_ready)
+        await asyncio.sleep(FIRST_PROCESS_S)
+        return daemon, worker
+
+    return start
+
+
+async def send_stray_start(daemon, worker, job, wait_until):
+    """Send a start order that stays on its way while the worker restarts."""
+    worker.late_starts = 1
+    await daemon.submissions.submit(job(STRAY_JOB))
+    await wait_until(lambda: worker.delayed)
+    worker.restart()
+
+
+async def lose(fleet, worker, task_count):
+    """Cut a worker off for good and wait until its tasks run elsewhere."""
+    worker.silent = True
+    fleet.add('w2').lease_limit_s = LEASE_LIMIT_S
+    async with asyncio.timeout(20):
+        while len(fleet.workers['w2'].running) < task_count:
+            await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize('arrival_s', [0.1, 0.4])
+def test_stray_order_before_restart_is_noticed_causes_no_second_run(
+    run_scenario, start_cell, job, wait_until, arrival_s
+):
+    """A task of a restarted worker must not run twice after its loss.
+
+    The leader waited for the lease that it had asked for, and the worker kept
+    the longer one of an order that was meant for its former process.
+    """
+
+    async def scenario(fleet, cell):
+        daemon, worker = await start_cell(fleet, cell)
+        await send_stray_start(daemon, worker, job, wait_until)
+        await asyncio.sleep(arrival_s)
+        worker.carry_out()
+        await wait_until(lambda: STRAY_JOB in fleet.job_ids_on('w1'))
+        await daemon.submissions.submit(job(LATER_JOB))
+        await wait_until(lambda: LATER_JOB in fleet.job_ids_on('w1'))
+        await lose(fleet, worker, 2)
+
+    run_scenario(scenario)
--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -195,6 +195,7 @@
     settings = read_settings(path)
     assert settings.link_port == 7420
     assert settings.job_settings().run_lease_s == pytest.approx(3.8)
+    assert settings.job_settings().lease_limit_s == pytest.approx(4)
     assert attrs.asdict(settings)['store_address'] == '10.200.1.7:8182'
 
 
