Give each process of a worker its own fencing token

The wait for the lease of a stray order holds only if no such order arrives later, and orders may be carried out seconds late.

Cause: all orders of a leader had one token, its epoch, so the new process of a worker accepted orders meant for the former one for as long as the leader stayed. Each extended the lease to the limit of the worker from its arrival, also a start that was refused as superseded.

The token is now the epoch times a million and a counter, drawn for each session and again for each restart that a session notices. Nothing is started in a new process before it has answered a call with its token; from then on it refuses all earlier orders. A refusal of a former token ends no leadership. Clock, token and leases of a process moved from the session to WorkerProcess.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_settings.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_settings.py
@@ -16,6 +16,9 @@
 _MIN_CAPACITY = 0.01
 # Part of the memory of a process that accepted jobs may take.
 _JOB_MEMORY_DIVISOR = 5
+# Fencing tokens of one leader: one for each process of each worker. Epochs fall
+# back to the Unix time, and the product has to be exact as a JSON number.
+_TOKENS_PER_EPOCH = 1_000_000
 # A running host of higher capacity wins an election within this time.
 _DELAY_STEP_S = 0.3
 
@@ -119,12 +122,13 @@
 class Leadership:
     """Leadership of this daemon, as of the last renewal of its lease.
 
-    :ivar epoch: fencing token of all orders.
+    :ivar epoch: number of the election, the upper part of all fencing tokens.
     :ivar revision: revision of the leader record.
     :ivar valid_until_s: end of the lease, counted from the time at which its
         renewal was sent.
     :ivar acquired_at_s: time of the acquisition.
     :ivar is_over: whether another daemon may be the leader by now.
+    :ivar token_count: fencing tokens that this leader has created.
     """
 
     epoch: int
@@ -132,6 +136,15 @@
     valid_until_s: float
     acquired_at_s: float
     is_over: bool = False
+    token_count: int = 0
+
+    def create_token(self) -> int:
+        """Return a fencing token above all earlier ones of the cell."""
+        self.token_count += 1
+        if self.token_count >= _TOKENS_PER_EPOCH:
+            # The next epoch has new ones.
+            self.is_over = True
+        return self.epoch * _TOKENS_PER_EPOCH + self.token_count
 
     def can_start_runs(self, now_s: float) -> bool:
         """Tell whether runs may be started now."""
--- /dev/null
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_process.py
@@ -0,0 +1,89 @@
+"""Clock, fencing token and leases of the process of a worker."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from currantreach_jobs._model import HoldReply
+    from currantreach_jobs._settings import JobSettings, Leadership
+
+__all__ = ('WorkerProcess',)
+
+_MS_PER_S = 1000
+
+
+class WorkerProcess:
+    """The present process of a worker, as far as its leader knows it.
+
+    A worker may restart under its id and its address at any time. The new
+    process has another clock and has seen no fencing token, so an order meant
+    for the former one may take effect there, with a lease as long as the worker
+    permits. Each process gets a token of its own. Once it has answered to that,
+    it refuses all earlier orders.
+
+    :ivar token: fencing token of all orders to this process.
+    :ivar is_token_seen: whether the process has answered a call with the token.
+    :ivar born_unix_ms: start time of the process, 0 before its first answer.
+    :ivar leases_expire_at_s: time after which no ordered run is active.
+    """
+
+    def __init__(
+        self,
+        leadership: Leadership,
+        settings: JobSettings,
+        leases_expire_at_s: float,
+    ) -> None:
+        """Wait for the first answer of the process.
+
+        :param leases_expire_at_s: end of the leases of earlier leaders.
+        """
+        self.token = leadership.create_token()
+        self.is_token_seen = False
+        self.born_unix_ms = 0
+        self.leases_expire_at_s = leases_expire_at_s
+        self._leadership = leadership
+        self._settings = settings
+        self._clock_ms = 0
+        self._clock_read_s: float = 0
+
+    def observe(self, reply: HoldReply, now_s: float) -> bool:
+        """Apply the answer to a call with the present token.
+
+        :returns: whether another process than before has answered.
+        """
+        is_other = reply.born_unix_ms != self.born_unix_ms
+        is_restart = is_other and bool(self.born_unix_ms)
+        if not self.born_unix_ms:
+            # The first answer fences off earlier leaders, which can no longer
+            # renew leases.
+            self.leases_expire_at_s = min(
+                self.leases_expire_at_s,
+                now_s + self._settings.max_lease_s,
+            )
+        elif is_restart or not self.is_token_seen:
+            self.leases_expire_at_s = max(
+                self.leases_expire_at_s,
+                now_s + self._settings.stray_lease_s,
+            )
+        if is_restart:
+            self.token = self._leadership.create_token()
+        self.is_token_seen = not is_restart
+        self.born_unix_ms = reply.born_unix_ms
+        self._clock_ms = reply.clock_ms
+        self._clock_read_s = now_s
+        return is_other
+
+    def clock_ms(self, now_s: float) -> int:
+        """Return the estimated reading of the worker's clock at a time."""
+        elapsed_s = now_s - self._clock_read_s
+        return self._clock_ms + round(elapsed_s * _MS_PER_S)
+
+    def extend_lease(self, now_s: float) -> int:
+        """Record a new lease and return its end on the worker's clock."""
+        self.leases_expire_at_s = max(
+            self.leases_expire_at_s,
+            now_s + self._settings.max_lease_s,
+        )
+        lease_s = self._settings.run_lease_s
+        return self.clock_ms(now_s) + round(lease_s * _MS_PER_S)
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -10,6 +10,7 @@
 from currantreach_jobs._orders import BackgroundOrders
 from currantreach_jobs._pending_acks import PendingAcks
 from currantreach_jobs._progress import RunPhase
+from currantreach_jobs._worker_process import WorkerProcess
 from currantreach_telemetry import log_event, log_warning
 from currantreach_types.errors import PlatformError, WorkerUnavailableError
 
@@ -27,7 +28,6 @@
 
 __all__ = ('WorkerSession',)
 
-_MS_PER_S = 1000
 # Pause between two attempts to reach a worker, a small part of its lease.
 _RETRY_S = 0.3
 # A commit takes some 15 ms. If it takes longer than this, the lease is renewed
@@ -53,7 +53,6 @@
 
     :ivar is_adopted: whether the runs on the worker are known.
     :ivar is_lost: whether all leases of the worker expired without an answer.
-    :ivar leases_expire_at_s: time after which no ordered run is active.
     """
 
     def __init__(
@@ -85,14 +84,11 @@
         self._releases = releases
         self._pending_acks = PendingAcks(cluster)
         self._is_silent = False
-        self._born_unix_ms = 0
-        self._clock_ms = 0
-        self._clock_read_s: float = 0
         self._recorded_through = 0
         self._acked_through = 0
         self._has_listed_ends = False
         # An earlier leader may still renew leases.
-        self.leases_expire_at_s = (
+        leases_expire_at_s = (
             leadership.acquired_at_s
             + settings.predecessor_grace_s
             + settings.max_lease_s
@@ -101,12 +97,18 @@
         self._silent_since_s: float | None = None
         released = releases.get(worker_id)
         if released is not None:
-            self.leases_expire_at_s = min(
-                self.leases_expire_at_s, released.leases_expire_at_s
+            leases_expire_at_s = min(
+                leases_expire_at_s, released.leases_expire_at_s
             )
             self._silent_since_s = released.silent_since_s
+        self._process = WorkerProcess(leadership, settings, leases_expire_at_s)
         self._orders = BackgroundOrders(worker_id, cluster.count_retry)
 
+    @property
+    def leases_expire_at_s(self) -> float:
+        """Return the time after which no ordered run is active."""
+        return self._process.leases_expire_at_s
+
     @property
     def is_silent(self) -> bool:
         """Tell whether the last call to the worker failed."""
@@ -126,8 +128,7 @@
                 await asyncio.sleep(_RETRY_S)
                 continue
             if reply.is_fenced:
-                self._leadership.is_over = True
-                log_event('worker_fenced', worker=self.worker_id)
+                self._handle_refused_token(self._process.token)
                 return
             self._process_reply(reply, sent_at_s)
             await self._acknowledge_ends()
@@ -140,7 +141,7 @@
         An earlier leader may have ordered runs there. Once the release is
         stored, the wait for their leases survives the end of this leader.
         """
-        if self._born_unix_ms:
+        if self._process.born_unix_ms:
             return
         if self._silent_since_s is None:
             self._silent_since_s = self._leadership.acquired_at_s
@@ -187,20 +188,23 @@
         has_pending_acks = self._recorded_through > self._acked_through
         can_send_orders = self._releases.can_send_orders(self.worker_id)
         can_long_poll = (
-            self.is_adopted and not self._is_silent and not has_pending_acks
+            self.is_adopted
+            and self._process.is_token_seen
+            and not self._is_silent
+            and not has_pending_acks
         )
         deadline_ms = 0
         acked_through = 0
         # Clock readings and numbers of ends are valid for one process of the
         # worker only, and a silent worker may have restarted. Ends that are no
         # longer listed need no acknowledgement.
-        if self._born_unix_ms and not self._is_silent:
+        if self._process.born_unix_ms and not self._is_silent:
             if can_send_orders:
-                deadline_ms = self._new_deadline_ms(now_s)
+                deadline_ms = self._process.extend_lease(now_s)
             if self._has_listed_ends:
                 acked_through = self._acked_through
         return await self._client.hold(
-            self._leadership.epoch,
+            self._process.token,
             acked_through,
             deadline_ms,
             self._settings.long_poll_s
@@ -208,20 +212,6 @@
             else 0,
         )
 
-    def _worker_clock_ms(self, now_s: float) -> int:
-        """Return the estimated reading of the worker's clock at a time."""
-        elapsed_s = now_s - self._clock_read_s
-        return self._clock_ms + round(elapsed_s * _MS_PER_S)
-
-    def _new_deadline_ms(self, now_s: float) -> int:
-        """Record a new lease and return its end on the worker's clock."""
-        lease_s = self._settings.run_lease_s
-        self.leases_expire_at_s = max(
-            self.leases_expire_at_s,
-            now_s + self._settings.max_lease_s,
-        )
-        return self._worker_clock_ms(now_s) + round(lease_s * _MS_PER_S)
-
     def _handle_silence(self, error: PlatformError) -> None:
         now_s = self._clock.now_s()
         worker = self._cluster.workers.get(self.worker_id)
@@ -233,7 +223,7 @@
             self._silent_since_s = now_s
         if worker is not None:
             worker.is_usable = False
-        has_answered = bool(self._born_unix_ms)
+        has_answered = bool(self._process.born_unix_ms)
         if (
             not has_answered
             or self._consecutive_failures >= _FAILURES_BEFORE_RELEASE
@@ -267,17 +257,20 @@
 
     def _process_reply(self, reply: HoldReply, sent_at_s: float) -> None:
         now_s = self._clock.now_s()
-        if not self._born_unix_ms:
-            # The first answer fences off earlier leaders, which can no longer
-            # renew leases.
-            self.leases_expire_at_s = min(
-                self.leases_expire_at_s,
-                now_s + self._settings.max_lease_s,
-            )
-        if reply.born_unix_ms != self._born_unix_ms:
-            self._handle_restart(reply, now_s)
-        self._clock_ms = reply.clock_ms
-        self._clock_read_s = now_s
+        former_unix_ms = self._process.born_unix_ms
+        expected_ms = self._process.clock_ms(now_s)
+        if self._process.observe(reply, now_s):
+            self._recorded_through = 0
+            self._acked_through = 0
+            self._pending_acks.clear()
+            if former_unix_ms:
+                log_event(
+                    'worker_restarted',
+                    worker=self.worker_id,
+                    born_unix_ms=reply.born_unix_ms,
+                    clock_ms=reply.clock_ms,
+                    expected_ms=expected_ms,
+                )
         self._has_listed_ends = bool(reply.ended)
         if self._is_silent:
             log_event('worker_answers', worker=self.worker_id)
@@ -299,25 +292,6 @@
         self._silent_since_s = None
         self._releases.end_release(self.worker_id)
 
-    def _handle_restart(self, reply: HoldReply, now_s: float) -> None:
-        if self._born_unix_ms:
-            # Orders meant for the former process may have reached this one.
-            self.leases_expire_at_s = max(
-                self.leases_expire_at_s,
-                now_s + self._settings.stray_lease_s,
-            )
-            log_event(
-                'worker_restarted',
-                worker=self.worker_id,
-                born_unix_ms=reply.born_unix_ms,
-                clock_ms=reply.clock_ms,
-                expected_ms=self._worker_clock_ms(now_s),
-            )
-        self._born_unix_ms = reply.born_unix_ms
-        self._recorded_through = 0
-        self._acked_through = 0
-        self._pending_acks.clear()
-
     def _adopt_listed(self, reply: HoldReply) -> None:
         """Adopt the runs that the worker lists."""
         self.is_adopted = True
@@ -348,7 +322,12 @@
         worker = self._cluster.workers.get(self.worker_id)
         if worker is None:
             return
-        worker.is_usable = self._releases.can_send_orders(self.worker_id)
+        worker.is_usable = (
+            self._process.is_token_seen
+            and self._releases.can_send_orders(
+                self.worker_id,
+            )
+        )
         listed = {(found.task, found.attempt): found for found in reply.running}
         self._stop_orphans_and_unconfirmed(
             worker, set(listed) - set(worker.runs)
@@ -382,10 +361,10 @@
             # the rate of the calls.
             await asyncio.sleep(_WRITE_WAIT_S)
             return
-        born_unix_ms = self._born_unix_ms
+        born_unix_ms = self._process.born_unix_ms
         jobs = tuple(set(ends.values()).difference(unstored))
         has_written = await self._wait_written(jobs, _WRITE_WAIT_S)
-        if has_written and born_unix_ms == self._born_unix_ms:
+        if has_written and born_unix_ms == self._process.born_unix_ms:
             self._log_unstored_ends(unstored)
             self._acked_through = max(ends)
             self._pending_acks.discard_through(self._acked_through)
@@ -438,16 +417,15 @@
             now_s = self._clock.now_s()
             if not self._can_start(run, now_s):
                 break
+            order = self._build_start_order(run, ticket, now_s)
             try:
-                answer = await self._client.start(
-                    self._build_start_order(run, ticket, now_s)
-                )
+                answer = await self._client.start(order)
             except WorkerUnavailableError:
                 await asyncio.sleep(_RETRY_S / _MAX_START_TRIES)
             except PlatformError:
                 is_outcome_unknown = True
             else:
-                self._handle_answer(run, answer, is_outcome_unknown)
+                self._handle_answer(run, order, answer, is_outcome_unknown)
                 return
         self._handle_unanswered_start(run, is_outcome_unknown)
 
@@ -457,6 +435,7 @@
         # may have restarted.
         can_send_orders = (
             not self._is_silent
+            and self._process.is_token_seen
             and self._releases.can_send_orders(
                 self.worker_id,
             )
@@ -492,8 +471,8 @@
             task=run.task,
             attempt=run.attempt,
             payload=run.stage.job_progress.job.payload,
-            worker_deadline_ms=self._new_deadline_ms(now_s),
-            fencing_token=self._leadership.epoch,
+            worker_deadline_ms=self._process.extend_lease(now_s),
+            fencing_token=self._process.token,
             checkpoint=task.checkpoint,
             ticket=ticket,
         )
@@ -501,13 +480,14 @@
     def _handle_answer(
         self,
         run: Run,
+        order: StartOrder,
         answer: StartAnswer,
         is_outcome_unknown: bool,
     ) -> None:
+        if answer is StartAnswer.FENCED:
+            self._handle_refused_token(order.fencing_token)
         if answer is StartAnswer.STARTED:
             self._cluster.confirm_start(run)
-        elif answer is StartAnswer.FENCED:
-            self._leadership.is_over = True
         elif is_outcome_unknown:
             self._cluster.stop(run, 'start_unsure')
         else:
@@ -556,23 +536,27 @@
         """Repeat a stop order until the worker answers or is lost."""
         grace_s = self._settings.lease_grace_s
         while self._leadership.can_extend_leases(self._clock.now_s(), grace_s):
+            token = self._process.token
             try:
-                is_obeyed = await self._client.stop(
-                    task,
-                    attempt,
-                    self._leadership.epoch,
-                )
+                is_obeyed = await self._client.stop(task, attempt, token)
             except PlatformError:
                 if self.is_lost:
                     return
                 await asyncio.sleep(_RETRY_S)
                 continue
             if not is_obeyed:
-                self._leadership.is_over = True
-            elif run is not None:
+                self._handle_refused_token(token)
+                continue
+            if run is not None:
                 run.confirmed_at_s = self._clock.now_s()
             return
 
+    def _handle_refused_token(self, token: int) -> None:
+        """End the leadership, unless this leader has used a higher token."""
+        if token == self._process.token:
+            self._leadership.is_over = True
+            log_event('worker_fenced', worker=self.worker_id)
+
 
 def _is_gone(run: Run, reply: HoldReply, sent_at_s: float) -> bool:
     """Tell whether a run that a reply does not list is certainly gone.
--- a/packages/currantreach-jobs/tests/conftest.py
+++ b/packages/currantreach-jobs/tests/conftest.py
@@ -429,6 +429,8 @@
         if key in self.running:
             return StartAnswer.STARTED
         if order.attempt <= self.closed.get(order.task, 0):
+            # The platform takes the deadline of a superseded start.
+            self.extend_lease(order.worker_deadline_ms)
             return StartAnswer.SUPERSEDED
         if order.worker_deadline_ms < self.clock_ms():
             return StartAnswer.LATE
--- a/packages/currantreach-jobs/tests/test_reborn_workers.py
+++ b/packages/currantreach-jobs/tests/test_reborn_workers.py
@@ -78,3 +78,28 @@
         await lose(fleet, worker, 2)
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize('arrival_s', [3, 6])
+def test_stray_order_after_restart_is_noticed_has_no_effect(
+    run_scenario, start_cell, job, wait_until, arrival_s
+):
+    """A restarted worker must refuse orders meant for its former process.
+
+    They carried the same fencing token as the orders for the new process. One
+    of them still extended the lease seconds later, and no wait covered that.
+    """
+
+    async def scenario(fleet, cell):
+        daemon, worker = await start_cell(fleet, cell)
+        await send_stray_start(daemon, worker, job, wait_until)
+        await daemon.submissions.submit(job(LATER_JOB))
+        await wait_until(lambda: len(worker.running) == 2)
+        daemon.scheduler.cluster.cancel(STRAY_JOB)
+        await asyncio.sleep(arrival_s)
+        deadline_ms = worker.deadline_ms
+        worker.carry_out()
+        assert worker.deadline_ms == deadline_ms
+        await lose(fleet, worker, 1)
+
+    run_scenario(scenario)
--- a/packages/currantreach-jobs/tests/test_worker_session.py
+++ b/packages/currantreach-jobs/tests/test_worker_session.py
@@ -304,3 +304,59 @@
         await harness.hold(HoldReply(clock_ms=2000, born_unix_ms=1))
     assert releases.get('w1') is released
     assert not releases.can_send_orders('w1')
+
+
+@pytest.mark.parametrize('order', ['start', 'stop'])
+async def test_refusal_of_own_former_token_ends_no_leadership(
+    harness, job, order
+):
+    """A refusal of an order for a former process must not end the leadership.
+
+    The new process has seen the higher token that this leader uses for it.
+    """
+    harness.cluster.add_job(job('7' * 16))
+    stage = harness.cluster.jobs['7' * 16].stages[0, 0]
+    run = harness.cluster.create_run(stage, 0, 'w1', 1)
+    has_restarted = asyncio.Event()
+    tokens = []
+
+    async def start(sent):
+        tokens.append(sent.fencing_token)
+        await has_restarted.wait()
+        return StartAnswer.FENCED
+
+    async def stop(task, attempt, token):
+        tokens.append(token)
+        await has_restarted.wait()
+        return token != tokens[0]
+
+    harness.client.start = start
+    harness.client.stop = stop
+    if order == 'start':
+        harness.session.start(run, '')
+    else:
+        harness.session.stop(run)
+    await asyncio.sleep(0.01)
+    await harness.hold(HoldReply(clock_ms=10, born_unix_ms=2))
+    has_restarted.set()
+    await asyncio.sleep(0.01)
+    assert tokens
+    assert not harness.session._leadership.is_over
+    if order == 'stop':
+        assert tokens[1] > tokens[0]
+        assert run.confirmed_at_s
+
+
+async def test_refusal_of_the_present_token_ends_the_leadership(harness, job):
+    """A worker that obeys a successor must end this leadership."""
+    harness.cluster.add_job(job('8' * 16))
+    stage = harness.cluster.jobs['8' * 16].stages[0, 0]
+    run = harness.cluster.create_run(stage, 0, 'w1', 1)
+
+    async def start(sent):
+        return StartAnswer.FENCED
+
+    harness.client.start = start
+    harness.session.start(run, '')
+    await asyncio.sleep(0.01)
+    assert harness.session._leadership.is_over
