Let a successor wait for stray orders of its predecessor

Callers could see a task run twice at the same time (TWICE) if the leader ended soon after a worker had restarted.

Cause: the first answer of a worker to a new leader fences off all earlier leaders, and the successor took 6.9 s from then on as the bound of their leases. An order of the predecessor that was meant for a former process may have reached the new one just before, with a lease up to the limit of the worker.

The bound after the first answer is now stray_lease_s. It applies from that answer only, so it costs a wait if the worker is lost within some four seconds after a takeover. For workers that never answer the successor the bound is the longer one of both (inherited_lease_s); it does not change for the limits of the present deployments.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_job_scheduler.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_job_scheduler.py
@@ -352,10 +352,7 @@
             self.cluster.count_retry('fleet_unreadable')
             # Without the record it is not known which workers run tasks, so
             # wait until all their leases have expired.
-            settings = self._settings
-            await asyncio.sleep(
-                settings.predecessor_grace_s + settings.max_lease_s,
-            )
+            await asyncio.sleep(self._settings.inherited_lease_s)
             return
         self._releases.retain(
             {report.worker_id for report in fleet.workers},
--- a/packages/currantreach-jobs/src/currantreach_jobs/_settings.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_settings.py
@@ -107,6 +107,16 @@
         """Return an upper bound of the real duration of a worker lease."""
         return self.run_lease_s * (1 + self.clock_drift) + self.call_timeout_s
 
+    @property
+    def inherited_lease_s(self) -> float:
+        """Return how long after an election leases of earlier leaders last.
+
+        A leader renews leases longer than it starts runs, and a stray start is
+        sent before the election.
+        """
+        renewed_s = self.predecessor_grace_s + self.max_lease_s
+        return max(renewed_s, self.stray_lease_s)
+
     @property
     def stray_lease_s(self) -> float:
         """Return an upper bound of the lease that a stray order extends.
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_process.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_process.py
@@ -56,10 +56,11 @@
         is_restart = is_other and bool(self.born_unix_ms)
         if not self.born_unix_ms:
             # The first answer fences off earlier leaders, which can no longer
-            # renew leases.
+            # renew leases. Their orders may have been meant for a former
+            # process.
             self.leases_expire_at_s = min(
                 self.leases_expire_at_s,
-                now_s + self._settings.max_lease_s,
+                now_s + self._settings.stray_lease_s,
             )
         elif is_restart or not self.is_token_seen:
             self.leases_expire_at_s = max(
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -89,9 +89,7 @@
         self._has_listed_ends = False
         # An earlier leader may still renew leases.
         leases_expire_at_s = (
-            leadership.acquired_at_s
-            + settings.predecessor_grace_s
-            + settings.max_lease_s
+            leadership.acquired_at_s + settings.inherited_lease_s
         )
         self._consecutive_failures = 0
         self._silent_since_s: float | None = None
--- a/packages/currantreach-jobs/tests/test_reborn_workers.py
+++ b/packages/currantreach-jobs/tests/test_reborn_workers.py
@@ -103,3 +103,43 @@
         await lose(fleet, worker, 1)
 
     run_scenario(scenario)
+
+
+def test_successor_waits_for_stray_orders_of_its_predecessor(
+    run_scenario, start_cell, job, wait_until
+):
+    """A change of the leader must not shorten the wait for a stray order.
+
+    The successor took the lease that leaders ask for as the bound of all leases
+    that the worker had before its first answer.
+    """
+
+    async def scenario(fleet, cell):
+        daemon, worker = await start_cell(fleet, cell)
+        await send_stray_start(daemon, worker, job, wait_until)
+        daemon.kill()
+        worker.unreachable_from = {'b'}
+        successor = cell.start('b')
+        await wait_until(
+            lambda: successor.scheduler and successor.scheduler.is_ready
+        )
+        worker.carry_out()
+        worker.unreachable_from = set()
+        await successor.submissions.submit(job(LATER_JOB))
+        await wait_until(lambda: LATER_JOB in fleet.job_ids_on('w1'))
+        await lose(fleet, worker, 2)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize('limit_s', [6, 10, 30])
+def test_inherited_leases_cover_stray_orders(limit_s):
+    """A worker that never answers a successor may hold the longest lease.
+
+    The bound must not depend on how the limit compares with a takeover.
+    """
+    settings = attrs.evolve(JobSettings(), lease_limit_s=limit_s)
+    assert settings.inherited_lease_s >= settings.stray_lease_s
+    assert settings.inherited_lease_s >= (
+        settings.predecessor_grace_s + settings.max_lease_s
+    )
