Give up runs that a lost worker has never listed after the longest lease

Callers could see a task run twice at the same time (TWICE): a start without an answer reached a worker that had just restarted, and the worker was cut off before the leader heard of the restart.

Cause: the leader gave up all runs of a lost worker after the lease that it had asked for. That lease is known only for runs of a process whose clock was read. A run that was never listed may run in a later process, up to the limit of the worker from the arrival of the order.

Runs that the worker has listed are given up as before. The others wait for all_leases_expire_at_s, which covers the limit from the last order on, and a release that a successor reads covers them too.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
@@ -151,10 +151,16 @@
         self.mark_worker_lost(worker_id)
         self.workers.pop(worker_id, None)
 
-    def mark_worker_lost(self, worker_id: str, silent_s: float = 0) -> None:
-        """Give up all runs on a worker, as none of them runs any more.
+    def mark_worker_lost(
+        self,
+        worker_id: str,
+        silent_s: float = 0,
+        keeps_unlisted: bool = False,
+    ) -> None:
+        """Give up the runs on a worker, as they do not run any more.
 
         :param silent_s: how long its tasks waited for its leases to expire.
+        :param keeps_unlisted: whether runs that it has never listed may run.
         """
         if silent_s:
             self._metrics.record_worker_silence(silent_s)
@@ -162,7 +168,8 @@
         if worker is not None:
             self.quarantined.update_runs(worker, ())
         for run in tuple(worker.running()) if worker else ():
-            self.mark_run_lost(run)
+            if run.is_listed or not keeps_unlisted:
+                self.mark_run_lost(run)
         self.drop_inherited(worker_id)
 
     def create_run(
@@ -268,6 +275,7 @@
         self._drop_inherited(stage, found.task.index)
         run = self.create_run(stage, found.task.index, worker_id, found.attempt)
         task.checkpoint = found.checkpoint or task.checkpoint
+        run.is_listed = is_listed
         if is_listed:
             stage.job_progress.has_started = True
         run.mark_running(self._clock.now_s())
--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -58,6 +58,7 @@
     :ivar created_at_s: when this daemon decided to start or adopt it.
     :ivar confirmed_at_s: when the worker confirmed the start or stop, 0 before.
         From then on the worker lists the run until it has ended.
+    :ivar is_listed: whether the worker has listed the run to this leader.
     """
 
     task: TaskKey
@@ -67,6 +68,7 @@
     stage: Stage
     created_at_s: float
     confirmed_at_s: float = 0
+    is_listed: bool = False
     ticket: str = ''
 
     def mark_running(self, now_s: float) -> None:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_usage.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_usage.py
@@ -136,6 +136,10 @@
         """Return all runs on the worker."""
         return self.runs.values()
 
+    def has_unlisted_runs(self) -> bool:
+        """Tell whether the worker has never listed one of its runs."""
+        return not all(run.is_listed for run in self.running())
+
     def unconfirmed_runs(
         self, in_flight: set[tuple[TaskKey, int]]
     ) -> list[Run]:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_process.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_process.py
@@ -25,7 +25,8 @@
     :ivar token: fencing token of all orders to this process.
     :ivar is_token_seen: whether the process has answered a call with the token.
     :ivar born_unix_ms: start time of the process, 0 before its first answer.
-    :ivar leases_expire_at_s: time after which no ordered run is active.
+    :ivar leases_expire_at_s: time after which no run is active that a process
+        has listed to this leader, and none of an earlier leader.
     """
 
     def __init__(
@@ -42,11 +43,21 @@
         self.is_token_seen = False
         self.born_unix_ms = 0
         self.leases_expire_at_s = leases_expire_at_s
+        self._stray_leases_expire_at_s: float = 0
         self._leadership = leadership
         self._settings = settings
         self._clock_ms = 0
         self._clock_read_s: float = 0
 
+    @property
+    def all_leases_expire_at_s(self) -> float:
+        """Return the time after which no run is active, listed or not.
+
+        A run that was never listed may have been started by a process that the
+        leader has not heard of.
+        """
+        return max(self.leases_expire_at_s, self._stray_leases_expire_at_s)
+
     def observe(self, reply: HoldReply, now_s: float) -> bool:
         """Apply the answer to a call with the present token.
 
@@ -80,11 +91,18 @@
         elapsed_s = now_s - self._clock_read_s
         return self._clock_ms + round(elapsed_s * _MS_PER_S)
 
-    def extend_lease(self, now_s: float) -> int:
-        """Record a new lease and return its end on the worker's clock."""
+    def extend_lease(self, now_s: float, wait_s: float = 0) -> int:
+        """Record a new lease and return its end on the worker's clock.
+
+        :param wait_s: how long the worker may delay its answer.
+        """
         self.leases_expire_at_s = max(
             self.leases_expire_at_s,
             now_s + self._settings.max_lease_s,
         )
+        self._stray_leases_expire_at_s = max(
+            self._stray_leases_expire_at_s,
+            now_s + wait_s + self._settings.stray_lease_s,
+        )
         lease_s = self._settings.run_lease_s
         return self.clock_ms(now_s) + round(lease_s * _MS_PER_S)
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -191,6 +191,11 @@
             and not self._is_silent
             and not has_pending_acks
         )
+        wait_s = (
+            self._settings.long_poll_s
+            if can_long_poll and can_send_orders
+            else 0
+        )
         deadline_ms = 0
         acked_through = 0
         # Clock readings and numbers of ends are valid for one process of the
@@ -198,16 +203,14 @@
         # longer listed need no acknowledgement.
         if self._process.born_unix_ms and not self._is_silent:
             if can_send_orders:
-                deadline_ms = self._process.extend_lease(now_s)
+                deadline_ms = self._process.extend_lease(now_s, wait_s)
             if self._has_listed_ends:
                 acked_through = self._acked_through
         return await self._client.hold(
             self._process.token,
             acked_through,
             deadline_ms,
-            self._settings.long_poll_s
-            if can_long_poll and can_send_orders
-            else 0,
+            wait_s,
         )
 
     def _handle_silence(self, error: PlatformError) -> None:
@@ -226,21 +229,33 @@
             not has_answered
             or self._consecutive_failures >= _FAILURES_BEFORE_RELEASE
         ):
+            has_unlisted_runs = (
+                worker is not None and worker.has_unlisted_runs()
+            )
             self._releases.release(
                 self.worker_id,
                 self._silent_since_s,
-                self.leases_expire_at_s,
+                self._process.all_leases_expire_at_s
+                if has_unlisted_runs
+                else self.leases_expire_at_s,
             )
         # The tasks placed on the worker are known once all jobs are read.
-        is_expired = (
-            now_s > self.leases_expire_at_s
-            and self._cluster.jobs_loaded.is_set()
-        )
-        if is_expired and not self.is_lost:
-            self._handle_loss(now_s - self._silent_since_s)
+        if self._cluster.jobs_loaded.is_set():
+            self._give_up_expired_runs(now_s, now_s - self._silent_since_s)
 
-    def _handle_loss(self, silent_s: float) -> None:
-        """Give up the runs on the worker, as all its leases have expired."""
+    def _give_up_expired_runs(self, now_s: float, silent_s: float) -> None:
+        """Give up the runs on the worker whose leases have expired."""
+        worker = self._cluster.workers.get(self.worker_id)
+        if now_s <= self.leases_expire_at_s:
+            return
+        are_all_expired = now_s > self._process.all_leases_expire_at_s
+        if not self.is_lost:
+            self._handle_loss(silent_s, not are_all_expired)
+        elif are_all_expired and worker is not None and worker.runs:
+            self._cluster.mark_worker_lost(self.worker_id)
+
+    def _handle_loss(self, silent_s: float, keeps_unlisted: bool) -> None:
+        """Give up the runs that the worker has listed, or all of them."""
         self.is_lost = True
         released = self._releases.get(self.worker_id)
         leadership_s = self._clock.now_s() - self._leadership.acquired_at_s
@@ -251,7 +266,7 @@
             release=released.release_id if released else '',
             tenure_s=round(leadership_s, 3),
         )
-        self._cluster.mark_worker_lost(self.worker_id, silent_s)
+        self._cluster.mark_worker_lost(self.worker_id, silent_s, keeps_unlisted)
 
     def _process_reply(self, reply: HoldReply, sent_at_s: float) -> None:
         now_s = self._clock.now_s()
@@ -334,6 +349,7 @@
             found_run = listed.get((run.task, run.attempt))
             if found_run is None:
                 continue
+            run.is_listed = True
             run.stage.job_progress.has_started = True
             if found_run.checkpoint:
                 task = run.stage.tasks[run.task.index]
--- a/packages/currantreach-jobs/tests/test_reborn_workers.py
+++ b/packages/currantreach-jobs/tests/test_reborn_workers.py
@@ -105,6 +105,51 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize('arrival_s', [0.1, 0.6])
+def test_stray_start_on_worker_that_never_answers_again_is_waited_for(
+    run_scenario, start_cell, job, wait_until, arrival_s
+):
+    """A start without an answer must not run twice if its worker is cut off.
+
+    It may have reached a process that the leader never hears of, where its
+    lease is longer than the one that the leader has asked for.
+    """
+
+    async def scenario(fleet, cell):
+        daemon, worker = await start_cell(fleet, cell)
+        await send_stray_start(daemon, worker, job, wait_until)
+        worker.silent = True
+        await asyncio.sleep(arrival_s)
+        worker.carry_out()
+        assert STRAY_JOB in fleet.job_ids_on('w1')
+        await lose(fleet, worker, 1)
+
+    run_scenario(scenario)
+
+
+def test_listed_run_of_lost_worker_waits_for_its_own_lease_only(
+    run_scenario, start_cell, job, wait_until
+):
+    """A run that a lost worker had listed must not wait for stray orders.
+
+    All tasks of a failure domain would wait for the limit of the workers.
+    """
+
+    async def scenario(fleet, cell):
+        daemon, worker = await start_cell(fleet, cell)
+        await daemon.submissions.submit(job(LATER_JOB))
+        await wait_until(lambda: LATER_JOB in fleet.job_ids_on('w1'))
+        await asyncio.sleep(cell.settings.long_poll_s * 2)
+        lost_at_s = fleet.clock.now_s()
+        await lose(fleet, worker, 1)
+        waited_s = fleet.clock.now_s() - lost_at_s
+        # The last call waits for an end, and is repeated once.
+        detection_s = cell.settings.long_poll_s + 1
+        assert waited_s < cell.settings.max_lease_s + detection_s
+
+    run_scenario(scenario)
+
+
 def test_successor_waits_for_stray_orders_of_its_predecessor(
     run_scenario, start_cell, job, wait_until
 ):
