Bound the leases of a worker from its first answer on

Callers could see a task run twice at the same time (TWICE): a successor inherited the wait for a silent worker, the worker restarted and answered, got a task and was cut off.

Cause: the first answer only shortened the inherited bound. An order meant for the former process may have extended the lease since, so a bound from before the restart says nothing about runs that start afterwards. The same held for a worker that was dropped from the fleet and came back.

The bound is now set at the first answer, as everything before it is fenced off from then on.

test_first_answer_of_restarted_worker_covers_stray_orders failed before with one overlapping task. The tests of jobs and the adapter pass, make check as well.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_process.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_process.py
@@ -69,10 +69,7 @@
             # The first answer fences off earlier leaders, which can no longer
             # renew leases. Their orders may have been meant for a former
             # process.
-            self.leases_expire_at_s = min(
-                self.leases_expire_at_s,
-                now_s + self._settings.stray_lease_s,
-            )
+            self.leases_expire_at_s = now_s + self._settings.stray_lease_s
         elif is_restart or not self.is_token_seen:
             self.leases_expire_at_s = max(
                 self.leases_expire_at_s,
--- a/packages/currantreach-jobs/tests/test_reborn_workers.py
+++ b/packages/currantreach-jobs/tests/test_reborn_workers.py
@@ -188,3 +188,34 @@
     assert settings.inherited_lease_s >= (
         settings.predecessor_grace_s + settings.max_lease_s
     )
+
+
+def test_first_answer_of_restarted_worker_covers_stray_orders(
+    run_scenario, start_cell, job, wait_until
+):
+    """A release from before a restart must not bound the leases after it.
+
+    A successor inherited the wait for a silent worker, which then answered. By
+    then an order for its former process had extended the lease.
+    """
+
+    async def scenario(fleet, cell):
+        daemon, worker = await start_cell(fleet, cell)
+        worker.silent = True
+        releases = daemon.scheduler._releases
+        await wait_until(lambda: not releases.can_send_orders('w1'))
+        await asyncio.sleep(cell.settings.run_lease_s)
+        daemon.kill()
+        successor = cell.start('b')
+        await wait_until(
+            lambda: successor.scheduler and successor.scheduler.is_ready
+        )
+        former_clock_ms = worker.clock_ms()
+        worker.restart()
+        worker.hold(0, 0, former_clock_ms)
+        worker.silent = False
+        await successor.submissions.submit(job(LATER_JOB))
+        await wait_until(lambda: LATER_JOB in fleet.job_ids_on('w1'))
+        await lose(fleet, worker, 1)
+
+    run_scenario(scenario)
