Play restarted workers in the fault soak

The soak could not find TWICE after a restart: its workers granted no lease longer than the one that daemons ask for, dropped late orders of a former process, and their tasks took two seconds at most.

A new kind of seeds (--restarted-workers) has leases of up to 10 s, tasks of up to 16 s, and workers that restart behind a silent link, so that calls sent meanwhile reach the new process unanswered, and that are cut off soon after. The kinds of seeds are an enumeration now; the seeds of the other two kinds play the same faults as before.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,6 +10,7 @@
 import sys
 
 from tests.soak._cell import run_seed
+from tests.soak._faults import FaultKind
 
 _DIRECTORY = pathlib.Path('build/soak')
 
@@ -29,7 +30,7 @@
                 seed,
                 _DIRECTORY / str(seed),
                 options.seconds,
-                is_planned=options.planned,
+                options.kind,
             )
         sys.stdout.write(f'{report.summary()}\n')
         sys.stdout.flush()
@@ -49,9 +50,19 @@
     parser.add_argument('--seconds', type=float, default=12)
     parser.add_argument(
         '--planned',
-        action='store_true',
+        action='store_const',
+        dest='kind',
+        const=FaultKind.PLANNED,
+        default=FaultKind.ANY,
         help='play stops, reloads and new configurations only',
     )
+    parser.add_argument(
+        '--restarted-workers',
+        action='store_const',
+        dest='kind',
+        const=FaultKind.RESTARTED_WORKERS,
+        help='restart workers and cut them off while long tasks run',
+    )
     options = parser.parse_args()
     # The injected faults break calls to the stand-ins on purpose.
     logging.getLogger('aiohttp.server').setLevel(logging.CRITICAL)
--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -19,19 +19,24 @@
 _CANCELLED_SHARE = 0.1
 _FAILING_SHARE = 0.07
 _RESUBMITTED_SHARE = 0.2
+# Some tasks outlast a lease, and there are short ones to start all the while.
+_LONG_SHARE = 0.3
+_LONG_TASK_FACTOR = 8
 
 
 class Callers:
     """Callers of all teams."""
 
-    def __init__(self, checker, frontends, random):
+    def __init__(self, checker, frontends, random, has_long_tasks=False):
         """Prepare the callers.
 
         :param frontends: addresses of the daemons.
+        :param has_long_tasks: submit tasks that outlast a lease.
         """
         self.checker = checker
         self.frontends = frontends
         self.random = random
+        self._long_share = _LONG_SHARE if has_long_tasks else 0
         self._session = None
 
     async def open(self):
@@ -153,6 +158,8 @@
             'memMb': 100,
             'estimateMs': random.randint(100, 2000),
         }
+        if self._long_share and random.random() < self._long_share:
+            step['estimateMs'] *= _LONG_TASK_FACTOR
         steps = [step]
         if shape < 0.3:
             step['gang'] = True
--- a/tests/soak/_cell.py
+++ b/tests/soak/_cell.py
@@ -17,7 +17,7 @@
 from testbed import Relay
 from tests.soak._callers import HOST, Callers
 from tests.soak._daemons import DaemonProcess
-from tests.soak._faults import FaultInjector
+from tests.soak._faults import FaultInjector, FaultKind
 from tests.soak._keep_alive import KeepAliveClients
 from tests.soak._store import StoreStandIn
 from tests.soak._workers import FleetStandIn
@@ -26,6 +26,13 @@
 _DAEMON_COUNT = 3
 _WORKER_COUNT = 6
 _JOBS_PER_S = 8
+# A third of them have long tasks.
+_LONG_JOBS_PER_S = 3
+_LEASE_S = 6
+# Work of the longest job with long tasks, two steps of 16 s.
+_LONGEST_JOB_S = 32
+# Longer than the leases that daemons ask for.
+_LONG_LEASE_S = 10
 _POLL_INTERVAL_S = 0.05
 # Busy keep-alive connections to each daemon during planned maintenance.
 _KEEP_ALIVE_COUNT = 20
@@ -76,15 +83,18 @@
         about the daemons.
     """
 
-    def __init__(self, seed, directory):
-        """Create an empty directory and the stand-ins."""
+    def __init__(self, seed, directory, lease_limit_s=_LEASE_S):
+        """Create an empty directory and the stand-ins.
+
+        :param lease_limit_s: longest lease that the workers grant.
+        """
         shutil.rmtree(directory, ignore_errors=True)
         directory.mkdir(parents=True)
         self.directory = directory
         self.random = random.Random(seed)
         self.checker = InvariantChecker(_TEAM_LIMITS)
         self.store = StoreStandIn(seed)
-        self.fleet = FleetStandIn(self.checker, self.store, seed)
+        self.fleet = FleetStandIn(self.checker, self.store, seed, lease_limit_s)
         self.daemons = []
         self.store_relays = []
         self.worker_relays = []
@@ -152,6 +162,7 @@
             ready=ready,
             store=f'127.0.0.1:{relay.port}',
             advice=f'127.0.0.1:{advice_port}',
+            lease_limit_ms=self.fleet.lease_limit_s * 1000,
         )
         self.daemons.append(daemon)
         self.frontends.append(f'127.0.0.1:{frontend}')
@@ -185,27 +196,35 @@
         await asyncio.sleep(_POLL_INTERVAL_S)
 
 
-async def run_seed(seed, directory, seconds, *, is_planned=False):
+async def run_seed(seed, directory, seconds, kind=FaultKind.ANY):
     """Run one seed and return its outcome.
 
-    :param is_planned: inject planned maintenance only, during which every
-        request must be answered.
+    :param kind: kind of the faults to inject.
     """
-    cell = SoakCell(seed, directory)
-    callers = Callers(cell.checker, cell.frontends, cell.random)
+    has_long_tasks = kind is FaultKind.RESTARTED_WORKERS
+    cell = SoakCell(
+        seed, directory, _LONG_LEASE_S if has_long_tasks else _LEASE_S
+    )
+    callers = Callers(cell.checker, cell.frontends, cell.random, has_long_tasks)
     keep_alive = KeepAliveClients(callers, random.Random(seed + 2))
-    faults = FaultInjector(cell, random.Random(seed + 1), is_planned=is_planned)
+    faults = FaultInjector(cell, random.Random(seed + 1), kind)
     await callers.open()
     try:
         await cell.start()
         await asyncio.gather(
-            callers.submit_jobs(seconds, _JOBS_PER_S),
+            callers.submit_jobs(
+                seconds, _LONG_JOBS_PER_S if has_long_tasks else _JOBS_PER_S
+            ),
             faults.run(seconds),
             keep_alive.run(
-                cell.frontends, _KEEP_ALIVE_COUNT * is_planned, seconds
+                cell.frontends,
+                _KEEP_ALIVE_COUNT * (kind is FaultKind.PLANNED),
+                seconds,
             ),
         )
-        await callers.wait_for_completion(_COMPLETION_TIMEOUT_S)
+        await callers.wait_for_completion(
+            _COMPLETION_TIMEOUT_S + has_long_tasks * _LONGEST_JOB_S
+        )
         _check_cancelled_jobs(cell.checker)
     finally:
         await callers.close()
--- a/tests/soak/_daemons.py
+++ b/tests/soak/_daemons.py
@@ -23,7 +23,7 @@
 cpuCores = 1
 maxFds = 4000
 [bounds]
-holdMaxMs = 6000
+holdMaxMs = {lease_limit_ms}
 gangWaitMs = 3000
 graceS = 6
 status_s = 120
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -3,8 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import signal
 
+_RESTART_S = 0.6
+
+
+class FaultKind(enum.Enum):
+    """Kinds of faults that a seed plays.
+
+    :cvar ANY: random faults of all parts of a cell.
+    :cvar PLANNED: stops, reloads and new configurations, during which every
+        request must be answered.
+    :cvar RESTARTED_WORKERS: workers that restart and are cut off soon after,
+        while long tasks run.
+    """
+
+    ANY = 'any'
+    PLANNED = 'planned'
+    RESTARTED_WORKERS = 'restarted-workers'
+
 
 class FaultInjector:
     """Injects faults for a while and reverts them.
@@ -12,11 +30,10 @@
     :ivar injected: names of the injected faults in order.
     """
 
-    def __init__(self, cell, random, *, is_planned=False):
+    def __init__(self, cell, random, kind=FaultKind.ANY):
         """Choose the faults for a cell.
 
-        :param is_planned: inject planned maintenance only: stops, reloads and
-            new configurations.
+        :param kind: kind of the faults to inject.
         """
         self.cell = cell
         self.random = random
@@ -40,13 +57,19 @@
             self._drain_worker,
             self._reload,
         )
-        if is_planned:
+        if kind is FaultKind.PLANNED:
             self._faults = (
                 self._terminate,
                 self._terminate_some,
                 self._reload,
                 self._configure,
             )
+        elif kind is FaultKind.RESTARTED_WORKERS:
+            self._faults = (
+                self._restart_and_cut_worker,
+                self._restart_and_cut_worker,
+                self._kill,
+            )
 
     async def run(self, seconds):
         """Inject faults every second on average, and wait until all end."""
@@ -153,6 +176,21 @@
         await asyncio.sleep(self._random_duration_s() / 2)
         worker.is_up = True
 
+    async def _restart_and_cut_worker(self):
+        """Restart a worker, and cut it off after it is in use again."""
+        index = self.random.randrange(len(self.cell.worker_relays))
+        worker = tuple(self.cell.fleet.workers.values())[index]
+        if not worker.is_up:
+            return
+        await worker.restart(_RESTART_S)
+        await asyncio.sleep(self.random.uniform(1, 2.5))
+        relay = self.cell.worker_relays[index]
+        relay.drops_data = True
+        # Longer than the longest lease from the restart on.
+        await asyncio.sleep(self.cell.fleet.lease_limit_s)
+        relay.drops_data = False
+        relay.close_connections()
+
     async def _late_orders(self):
         worker = self._random_worker()
         worker.delayed_start_share = 0.5
--- a/tests/soak/_workers.py
+++ b/tests/soak/_workers.py
@@ -18,7 +18,6 @@
 GANG_TIMEOUT_S = 3
 # The placement service allows one certain worker and seven in ten others.
 ALLOWED_TENTHS = 7
-_MAX_LEASE_S = 6
 _POLL_INTERVAL_S = 0.02
 _TICKET_TTL_S = 2.5
 
@@ -53,6 +52,8 @@
         self.delayed_start_share = 0
         self.is_failing = False
         self.is_up = True
+        self.dark_until = None
+        self.silent_instances = set()
         self.is_draining = False
         self.address = ''
         self.clock_rate = 1 - 0.02 * fleet.random.random()
@@ -77,6 +78,20 @@
         self.is_up = False
         self.start_instance()
 
+    async def restart(self, pause_s):
+        """Restart behind a silent link.
+
+        Calls under way get no answer. Those that are sent meanwhile reach the
+        new instance, and their callers get no answer either.
+        """
+        self.silent_instances.add(self.born)
+        self.dark_until = asyncio.Event()
+        self.crash()
+        await asyncio.sleep(pause_s)
+        self.is_up = True
+        self.dark_until.set()
+        self.dark_until = None
+
     def clock_ms(self):
         """Return the time of the slow clock since the instance started."""
         return round(
@@ -117,10 +132,14 @@
 
     async def serve(self, request):
         """Answer one call."""
-        if not self.is_up:
+        if not self.is_up and self.dark_until is None:
             request.transport.abort()
         name = request.path.removeprefix('/currantreach/')
         body = await request.json()
+        if self.dark_until is not None:
+            await self.dark_until.wait()
+            await self._execute(name, body)
+            return await self._withhold_answer(request)
         if request.headers['X-Expect-Instance'] != self.name:
             return web.Response(status=421)
         self.update_runs()
@@ -134,8 +153,23 @@
                 body,
                 self.born,
             )
-            await asyncio.sleep(_MAX_LEASE_S)
+            await asyncio.sleep(self.fleet.lease_limit_s)
             return web.Response(status=503)
+        born = self.born
+        response = await self._execute(name, body)
+        if born in self.silent_instances:
+            return await self._withhold_answer(request)
+        return response
+
+    async def _withhold_answer(self, request):
+        """Let the caller run into its timeout."""
+        await asyncio.sleep(self.fleet.lease_limit_s)
+        if request.transport is not None:
+            request.transport.abort()
+        return web.Response(status=503)
+
+    async def _execute(self, name, body):
+        self.update_runs()
         if name == 'run-start':
             return self._answer(*self._start(body, self.born))
         if name == 'run-stop':
@@ -240,7 +274,7 @@
     def _limit_deadline(self, body):
         return min(
             body['deadlineMs'],
-            self.clock_ms() + _MAX_LEASE_S * 1000,
+            self.clock_ms() + self.fleet.lease_limit_s * 1000,
         )
 
     def _answer(self, status, reason):
@@ -269,10 +303,12 @@
     """Workers, their entries in the store and the placement service.
 
     :ivar tickets: expiry of each ticket of the placement service.
+    :ivar lease_limit_s: longest lease that the workers grant.
     """
 
-    def __init__(self, checker, store, seed):
+    def __init__(self, checker, store, seed, lease_limit_s):
         """Start without workers."""
+        self.lease_limit_s = lease_limit_s
         self.checker = checker
         self.store = store
         self.random = random.Random(seed)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,12 +7,15 @@
 import pytest
 
 from tests.soak._cell import run_seed
+from tests.soak._faults import FaultKind
 
 # Regression seeds: each one that found a fault stays, with a line on the cause.
 # 74: a daemon became the leader before it had read the limits of the teams.
 SEEDS = (1, 74)
 # 1: a stopping daemon cut its requests, and became the leader meanwhile.
 PLANNED_SEEDS = (1,)
+# 6: a run outlasted the wait for the lease of its worker.
+RESTART_SEEDS = (6,)
 SECONDS = 8
 
 
@@ -39,6 +42,17 @@
 @pytest.mark.parametrize('seed', PLANNED_SEEDS)
 async def test_planned_maintenance_cuts_no_request(seed, tmp_path):
     """Guard against a cut request whose body arrives during a stop."""
-    report = await run_seed(seed, tmp_path / 'site', SECONDS, is_planned=True)
+    report = await run_seed(seed, tmp_path / 'site', SECONDS, FaultKind.PLANNED)
     assert report.request_counts
     assert not report.violations
+
+
+@pytest.mark.timeout(120)
+@pytest.mark.parametrize('seed', RESTART_SEEDS)
+async def test_restarted_workers_run_no_task_twice(seed, tmp_path):
+    """Guard against a lease that outlasts the wait for a restarted worker."""
+    report = await run_seed(
+        seed, tmp_path / 'site', SECONDS, FaultKind.RESTARTED_WORKERS
+    )
+    assert report.start_count
+    assert not report.violations
