Name the boot id of a worker in its start orders

Cause: when a worker answers with another boot id, the owner gives its starts in flight up and runs their tasks elsewhere, as their start_by_ms cannot be compared with the new clock. Such a start may still arrive. If the new clock is behind, it is not late there, and the new process accepts it after it has been adopted with the same epoch.

A start now names the boot id that it is for, and a worker with another one answers other_boot. The field is optional in the message; a worker that does not know it accepts the start as before.

The adapter's daemons do not use this interface.

--- a/packages/currantreach-daemon/src/currantreach_daemon/_worker_link.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_worker_link.py
@@ -374,6 +374,7 @@
             lease_ms=int(self._lease_s * _MS_PER_S),
             run_ms=int(min(spec.expected_run_s, _RUN_LIMIT_S) * _MS_PER_S),
             spec_json=encode_json(spec).decode(),
+            boot_id=self.boot_id,
         )
 
 
--- a/packages/currantreach-daemon/tests/conftest.py
+++ b/packages/currantreach-daemon/tests/conftest.py
@@ -151,6 +151,8 @@
             outcome = StartOutcome.stale_epoch
         elif order.start_by_ms < self.clock_ms():
             outcome = StartOutcome.too_late
+        elif order.boot_id and order.boot_id != f'{self.name}-{self.boot}':
+            outcome = StartOutcome.other_boot
         elif order.task_id in self.tasks:
             outcome = StartOutcome.known
         else:
--- a/packages/currantreach-daemon/tests/test_owner.py
+++ b/packages/currantreach-daemon/tests/test_owner.py
@@ -725,3 +725,37 @@
         assert after.state == 'accepted'
 
     simulate(scenario)
+
+
+@pytest.mark.parametrize('arrival_s', [0.3, 2])
+def test_stray_start_after_restart_has_no_effect(simulate, arrival_s):
+    """Guard against a task that runs twice after its worker has restarted.
+
+    Its start arrived late, at a process with a clock that is behind, after the
+    owner had given it up and started it elsewhere.
+
+    Property: no task runs in two places.
+    """
+
+    async def scenario(cell):
+        for lossy in cell.all_workers():
+            lossy.lost['start'] = 1
+        spec = cell.spec(expected_run_s=30)
+        await cell.submit(spec)
+        await asyncio.sleep(0.2)
+        stray = cell.calls['start'][0]
+        name = cell.workers_of(spec.request_id)[0]
+        worker = cell.workers[name]
+        worker.restart()
+        worker.clock_offset_s = -worker.clock_offset_s
+        cell.closed = {name}
+        cell.publish_hosts()
+        for other in cell.all_workers():
+            other.lost['start'] = 0
+        await asyncio.sleep(arrival_s)
+        assert cell.workers_of(spec.request_id)
+        worker.start(stray)
+        assert name not in cell.workers_of(spec.request_id)
+        assert (await cell.final_answer(spec.request_id)).state == 'finished'
+
+    simulate(scenario)
--- a/packages/currantreach-standins/src/currantreach_standins/_fleet_worker.py
+++ b/packages/currantreach-standins/src/currantreach_standins/_fleet_worker.py
@@ -211,6 +211,8 @@
                 return StartOutcome.stale_epoch
             if order.start_by_ms < self.clock_ms():
                 return StartOutcome.too_late
+            if order.boot_id and order.boot_id != self._boot_id:
+                return StartOutcome.other_boot
         if order.task_id in self._tasks:
             return StartOutcome.known
         return None
--- a/packages/currantreach-types/src/currantreach_types/_workers.py
+++ b/packages/currantreach-types/src/currantreach_types/_workers.py
@@ -45,6 +45,7 @@
     known = 'known'
     stale_epoch = 'stale_epoch'
     too_late = 'too_late'
+    other_boot = 'other_boot'
     no_room = 'no_room'
 
 
@@ -81,6 +82,8 @@
     :ivar lease_ms: task lease; the task stops if it is not renewed.
     :ivar run_ms: simulated run time on a stand-in worker.
     :ivar spec_json: encoded request, returned in the inventory.
+    :ivar boot_id: boot id of the worker that may start it, empty for any.
+        ``start_by_ms`` is a reading of the clock of that process.
     """
 
     task_id: str
@@ -90,6 +93,7 @@
     lease_ms: int
     run_ms: int
     spec_json: str = ''
+    boot_id: str = ''
 
 
 @attrs.frozen(slots=True, kw_only=True)
