--- a/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
@@ -160,7 +160,8 @@
         """Give up the runs on a worker, as they do not run any more.
 
         :param silent_s: how long its tasks waited for its leases to expire.
-        :param keeps_unlisted: whether runs that it has never listed may run.
+        :param keeps_unlisted: keep the runs that it has never listed, as they
+            may still be active.
         """
         if silent_s:
             self._metrics.record_worker_silence(silent_s)
--- a/packages/currantreach-jobs/src/currantreach_jobs/_usage.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_usage.py
@@ -137,7 +137,7 @@
         return self.runs.values()
 
     def has_unlisted_runs(self) -> bool:
-        """Tell whether the worker has never listed one of its runs."""
+        """Tell whether there is a run that the worker has never listed."""
         return not all(run.is_listed for run in self.running())
 
     def unconfirmed_runs(
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_process.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_process.py
@@ -25,8 +25,8 @@
     :ivar token: fencing token of all orders to this process.
     :ivar is_token_seen: whether the process has answered a call with the token.
     :ivar born_unix_ms: start time of the process, 0 before its first answer.
-    :ivar leases_expire_at_s: time after which no run is active that a process
-        has listed to this leader, and none of an earlier leader.
+    :ivar leases_expire_at_s: time after which no run is active that was listed
+        to this leader or ordered by an earlier one.
     """
 
     def __init__(
@@ -61,6 +61,8 @@
     def observe(self, reply: HoldReply, now_s: float) -> bool:
         """Apply the answer to a call with the present token.
 
+        If another process has answered, the next call carries a new token.
+
         :returns: whether another process than before has answered.
         """
         is_other = reply.born_unix_ms != self.born_unix_ms
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -52,7 +52,8 @@
     """Renews the leases of one worker and reconciles its runs.
 
     :ivar is_adopted: whether the runs on the worker are known.
-    :ivar is_lost: whether all leases of the worker expired without an answer.
+    :ivar is_lost: whether the leases of all runs that the worker has listed
+        expired without an answer.
     """
 
     def __init__(
@@ -104,7 +105,7 @@
 
     @property
     def leases_expire_at_s(self) -> float:
-        """Return the time after which no ordered run is active."""
+        """Return the time after which no run that was listed is active."""
         return self._process.leases_expire_at_s
 
     @property
@@ -245,9 +246,9 @@
 
     def _give_up_expired_runs(self, now_s: float, silent_s: float) -> None:
         """Give up the runs on the worker whose leases have expired."""
-        worker = self._cluster.workers.get(self.worker_id)
         if now_s <= self.leases_expire_at_s:
             return
+        worker = self._cluster.workers.get(self.worker_id)
         are_all_expired = now_s > self._process.all_leases_expire_at_s
         if not self.is_lost:
             self._handle_loss(silent_s, not are_all_expired)
--- a/packages/currantreach-jobs/tests/test_reborn_workers.py
+++ b/packages/currantreach-jobs/tests/test_stray_orders.py
@@ -1,8 +1,7 @@
-"""Workers that restart under the same id and get orders meant for before.
+"""Stray orders, which reach a later process of a worker than they were meant for.
 
-An order that was sent before a restart may reach the new process of a worker.
-Its deadline is a reading of the former clock. If the new clock is behind, the
-lease lasts as long as the worker permits.
+The deadline of an order is a reading of the clock of one process. If the clock
+of the next one is behind, the lease lasts as long as the worker permits.
 """
 
 from __future__ import annotations
