--- a/packages/currantreach-jobs/tests/test_stray_orders.py
+++ b/packages/currantreach-jobs/tests/test_stray_orders.py
@@ -1,4 +1,4 @@
-"""Stray orders, which reach a later process of a worker than they were meant for.
+"""Orders meant for one process of a worker that reach a later one.
 
 The deadline of an order is a reading of the clock of one process. If the clock
 of the next one is behind, the lease lasts as long as the worker permits.
