--- a/tests/soak/test_daemons.py
+++ b/tests/soak/test_daemons.py
@@ -18,7 +18,7 @@
     """Return a daemon process that is not started."""
     monkeypatch.setattr(_daemons, '_KILL_TIMEOUT_S', TIMEOUT_S)
     addresses = dict.fromkeys(
-        ('frontend', 'ready', 'store', 'advice', 'link'), 1
+        ('frontend', 'ready', 'store', 'advice', 'link', 'lease_limit_ms'), 1
     )
     return _daemons.DaemonProcess('d0', tmp_path, **addresses)
 
