Send no start for a task whose gang has ended

Cause: one end as done counts for all members of a gang, but a member whose start had no answer yet stayed to be started, and its order was repeated. The payload of an ended job is dropped since, so the repetition carried an empty one.

A start is sent only while its task is not done. All other ends stop the runs of their tasks already.

test_member_of_a_done_gang_is_not_ordered_again failed before: the start was sent twice more, with an empty payload. 372 tests of jobs pass, make check as well.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -445,7 +445,12 @@
         self._handle_unanswered_start(run, is_outcome_unknown)
 
     def _can_start(self, run: Run, now_s: float) -> bool:
-        is_wanted = run.phase is RunPhase.STARTING
+        # The end of a gang counts for all members, also for one whose start has
+        # not been answered yet.
+        is_wanted = (
+            run.phase is RunPhase.STARTING
+            and not run.stage.tasks[run.task.index].is_done
+        )
         # The deadline is a reading of the worker's clock, which a silent worker
         # may have restarted.
         can_send_orders = (
--- a/packages/currantreach-jobs/tests/test_worker_session.py
+++ b/packages/currantreach-jobs/tests/test_worker_session.py
@@ -360,3 +360,35 @@
     harness.session.start(run, '')
     await asyncio.sleep(0.01)
     assert harness.session._leadership.is_over
+
+
+async def test_member_of_a_done_gang_is_not_ordered_again(harness, job):
+    """A start must not be repeated once its gang has ended.
+
+    The payload of an ended job is dropped, so the repetition told the worker to
+    run something else than its caller had submitted.
+    """
+    harness.cluster.add_job(job('9' * 16, count=2, is_gang=True))
+    stage = harness.cluster.jobs['9' * 16].stages[0, 0]
+    runs = [
+        harness.cluster.create_run(stage, index, 'w1', 1) for index in (0, 1)
+    ]
+    has_ended = asyncio.Event()
+    payloads = []
+
+    async def start(order):
+        payloads.append(order.payload)
+        await has_ended.wait()
+        raise OutcomeUnknownError('the answer was lost')
+
+    harness.client.start = start
+    harness.session.start(runs[1], '')
+    await asyncio.sleep(0.01)
+    harness.cluster.end_run(
+        'w1',
+        EndedRun(number=1, task=runs[0].task, attempt=1, kind=EndKind.DONE),
+    )
+    harness.cluster.jobs['9' * 16].drop_work()
+    has_ended.set()
+    await asyncio.sleep(0.01)
+    assert payloads == ['payload']
