Ask in one place whether starts may be sent to a worker

Whether the process refuses stray orders and the worker is not released was asked in the same words before each start and at each list.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -249,14 +249,11 @@
         if now_s <= self.leases_expire_at_s:
             return
         worker = self._cluster.workers.get(self.worker_id)
-        are_all_expired = now_s > self._process.all_leases_expire_at_s
-        if not self.is_lost:
-            self._handle_loss(silent_s, not are_all_expired)
-        elif are_all_expired and worker is not None and worker.runs:
-            self._cluster.mark_worker_lost(self.worker_id)
-
-    def _handle_loss(self, silent_s: float, keeps_unlisted: bool) -> None:
-        """Give up the runs that the worker has listed, or all of them."""
+        keeps_unlisted = now_s <= self._process.all_leases_expire_at_s
+        if self.is_lost:
+            if not keeps_unlisted and worker is not None and worker.runs:
+                self._cluster.mark_worker_lost(self.worker_id)
+            return
         self.is_lost = True
         released = self._releases.get(self.worker_id)
         leadership_s = self._clock.now_s() - self._leadership.acquired_at_s
@@ -336,12 +333,7 @@
         worker = self._cluster.workers.get(self.worker_id)
         if worker is None:
             return
-        worker.is_usable = (
-            self._process.is_token_seen
-            and self._releases.can_send_orders(
-                self.worker_id,
-            )
-        )
+        worker.is_usable = self._can_send_starts()
         listed = {(found.task, found.attempt): found for found in reply.running}
         self._stop_orphans_and_unconfirmed(
             worker, set(listed) - set(worker.runs)
@@ -453,19 +445,19 @@
         )
         # The deadline is a reading of the worker's clock, which a silent worker
         # may have restarted.
-        can_send_orders = (
-            not self._is_silent
-            and self._process.is_token_seen
-            and self._releases.can_send_orders(
-                self.worker_id,
-            )
-        )
         return (
             is_wanted
-            and can_send_orders
+            and not self._is_silent
+            and self._can_send_starts()
             and self._leadership.can_start_runs(now_s)
         )
 
+    def _can_send_starts(self) -> bool:
+        """Tell whether the worker refuses stray orders and is not released."""
+        return self._process.is_token_seen and self._releases.can_send_orders(
+            self.worker_id
+        )
+
     def _handle_unanswered_start(
         self, run: Run, is_outcome_unknown: bool
     ) -> None:
