--- a/tests/soak/_workers.py
+++ b/tests/soak/_workers.py
@@ -138,6 +138,7 @@
         body = await request.json()
         if self.dark_until is not None:
             await self.dark_until.wait()
+            self.update_runs()
             await self._execute(name, body)
             return await self._withhold_answer(request)
         if request.headers['X-Expect-Instance'] != self.name:
@@ -169,7 +170,6 @@
         return web.Response(status=503)
 
     async def _execute(self, name, body):
-        self.update_runs()
         if name == 'run-start':
             return self._answer(*self._start(body, self.born))
         if name == 'run-stop':
