Log each failed run and whether it was counted

The logs could not tell the hypotheses of the incident apart: an end of a run that had been given up or counted before left a line only if it was done, and an owner wrote none for a failed task, so request_end did not show how often a request had run.

end_of_other_run now covers failed ends as well (how), run_failed tells whether the end raised the count (is_counted), and an owner writes task_failed with the number of failures and the bound. Nothing is counted differently.

--- a/packages/currantreach-daemon/src/currantreach_daemon/_task_events.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_task_events.py
@@ -171,16 +171,33 @@
             self._completion.retire_later(entry, worker, task)
         else:
             self._completion.retire_task(worker, task.task_id)
-        self._end_or_retry(entry, task.phase)
-
-    def _end_or_retry(self, entry: RequestEntry, phase: TaskPhase) -> None:
         if entry.is_cancelled:
             if not entry.workers:
                 self._completion.end(
                     entry, RequestState.failed, reason='cancelled'
                 )
             return
-        entry.failure_count += phase == TaskPhase.failed
+        if task.phase == TaskPhase.failed:
+            self._count_failure(entry, worker, task)
+        self._end_or_retry(entry, task.phase)
+
+    def _count_failure(
+        self,
+        entry: RequestEntry,
+        worker: str,
+        task: WorkerTask,
+    ) -> None:
+        entry.failure_count += 1
+        self._state.log(
+            'task_failed',
+            task=task.task_id,
+            worker=worker,
+            run_ms=task.run_ms,
+            failures=entry.failure_count,
+            most=_FAILURE_LIMIT,
+        )
+
+    def _end_or_retry(self, entry: RequestEntry, phase: TaskPhase) -> None:
         is_limit_reached = entry.failure_count >= _FAILURE_LIMIT
         if entry.spec.is_unrepeatable or is_limit_reached:
             self._state.stop_tasks(entry)
--- a/packages/currantreach-daemon/tests/conftest.py
+++ b/packages/currantreach-daemon/tests/conftest.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import functools
 import itertools
 
 import attrs
@@ -658,12 +659,18 @@
 
 
 @pytest.fixture
-def logged_ends():
-    """Return a function that lists the log lines for ends of requests."""
-    records = logbook.TestHandler()
-    with records.applicationbound():
-        yield lambda: [
+def logged():
+    """Return a function that lists the log lines of an event."""
+    handler = logbook.TestHandler()
+    with handler.applicationbound():
+        yield lambda event: [
             record.message
-            for record in records.records
-            if 'event=request_end' in record.message
+            for record in handler.records
+            if f'event={event} ' in record.message
         ]
+
+
+@pytest.fixture
+def logged_ends(logged):
+    """Return a function that lists the log lines for ends of requests."""
+    return functools.partial(logged, 'request_end')
--- a/packages/currantreach-daemon/tests/test_owner.py
+++ b/packages/currantreach-daemon/tests/test_owner.py
@@ -562,6 +562,22 @@
     simulate(scenario)
 
 
+def test_failed_tasks_are_logged(simulate, logged):
+    """Guard against a request that ends as failed without its failed runs."""
+
+    async def scenario(cell):
+        for worker in cell.all_workers():
+            worker.fails = True
+        spec = cell.spec()
+        await cell.submit(spec)
+        answer = await cell.final_answer(spec.request_id)
+        assert answer.reason == 'task_failed'
+        counts = [line.split('failures=')[1] for line in logged('task_failed')]
+        assert counts == ['1 most=3', '2 most=3', '3 most=3']
+
+    simulate(scenario)
+
+
 def test_retry_budget(simulate):
     """Guard against unlimited retries of a team whose tasks all fail."""
 
--- a/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
@@ -42,6 +42,8 @@
 # Pause of a stage after a start that certainly had no effect. The retries of
 # all its tasks wait for its end.
 _REFUSED_PAUSE_S = 0.2
+# Ends of these kinds decide about a task, so each of them has a log line.
+_COUNTED_KINDS = frozenset((EndKind.DONE, EndKind.FAILED))
 
 
 class ClusterState:
@@ -348,18 +350,18 @@
             run.
         """
         stage = self._stage_of_run(worker_id, ended, is_inherited)
-        if stage is None and ended.kind is EndKind.DONE:
-            stage = self.stage_of(ended.task)
-            if stage is not None and not stage.step.is_lasting:
-                log_event(
+        if stage is None and ended.kind in _COUNTED_KINDS:
+            other_stage = self.stage_of(ended.task)
+            if other_stage is not None and not other_stage.step.is_lasting:
+                _log_run(
                     'end_of_other_run',
-                    job=ended.task.job_id,
-                    step=ended.task.step,
-                    task=ended.task.index,
-                    attempt=ended.attempt,
-                    worker=worker_id,
-                    is_done=stage.tasks[ended.task.index].is_done,
+                    ended,
+                    worker_id,
+                    how=ended.kind,
+                    is_done=other_stage.tasks[ended.task.index].is_done,
                 )
+            if ended.kind is EndKind.DONE:
+                stage = other_stage
         if stage is None or stage.job_progress.state.is_final:
             return
         stage.job_progress.has_started = True
@@ -457,7 +459,8 @@
             # Another run of the task was done before this one was stopped.
             _log_run('run_cut_short', ended, worker_id, how=ended.kind)
             return
-        if stage.count_failure(ended.task.index, ended.attempt):
+        is_counted = stage.count_failure(ended.task.index, ended.attempt)
+        if is_counted:
             self._metrics.record_retry('run_failed')
         self._mark_changed(progress.job.job_id)
         failures = stage.failure_count_of(ended.task.index)
@@ -469,6 +472,7 @@
             worker_id,
             failures=failures,
             most=progress.job.queue.max_attempts,
+            is_counted=is_counted,
         )
         if failures >= progress.job.queue.max_attempts:
             self._end_job(progress, JobState.FAILED)
--- a/packages/currantreach-jobs/tests/conftest.py
+++ b/packages/currantreach-jobs/tests/conftest.py
@@ -912,6 +912,13 @@
         yield
 
 
+@pytest.fixture
+def log():
+    """Return the log lines that are written."""
+    with logbook.TestHandler().applicationbound() as handler:
+        yield handler
+
+
 @pytest.fixture
 def run_scenario():
     """Return a function that runs a scenario on virtual time."""
--- a/packages/currantreach-jobs/tests/test_repeated_events.py
+++ b/packages/currantreach-jobs/tests/test_repeated_events.py
@@ -176,3 +176,23 @@
     assert not offline.cluster.memory.accepted.total_bytes
     assert not offline.cluster.memory.opened.total_bytes
     assert not offline.cluster.pending_count('lookups')
+
+
+def test_failed_ends_that_do_not_count_are_logged(
+    offline, job, start, end, log
+):
+    """A failed end must leave a line that tells whether it was counted."""
+    offline.cluster.add_job(job(ONE, count=2, is_gang=True))
+    first, second = start()
+    for run in (first, second, second):
+        end(run, EndKind.FAILED)
+    lines = [record.message for record in log.records]
+    failed = [line for line in lines if 'event=run_failed' in line]
+    assert [line.endswith('is_counted=True') for line in failed] == [
+        True,
+        False,
+    ]
+    repeated = [line for line in lines if 'event=end_of_other_run' in line]
+    assert len(repeated) == 1
+    assert f'attempt={second.attempt} ' in repeated[0]
+    assert 'how=failed' in repeated[0]
--- a/packages/currantreach-jobs/tests/test_waiting.py
+++ b/packages/currantreach-jobs/tests/test_waiting.py
@@ -9,7 +9,6 @@
 import types
 
 import attrs
-import logbook
 import pytest
 
 from currantreach_jobs import AdviceConfig, EndedRun, EndKind, SiteConfig, Team
@@ -32,13 +31,6 @@
     return WaitMonitor(offline.cluster, offline.clock, sessions)
 
 
-@pytest.fixture
-def log():
-    """Return the log lines that are written."""
-    with logbook.TestHandler().applicationbound() as handler:
-        yield handler
-
-
 @pytest.fixture
 def reasons(offline, monitor, log):
     """Return a function that lets time pass and returns the wait lines."""
