Test failed runs of requests that an owner counts more than once

The owners of partitions serve the product's own interface; the daemons on the platform do not use this code.

--- a/packages/currantreach-decisions/tests/test_policies.py
+++ b/packages/currantreach-decisions/tests/test_policies.py
@@ -124,6 +124,18 @@
     assert len(scheduler.decide(1).placements) == 1
 
 
+def test_failed_runs_of_a_gang_are_counted_as_runs(scheduler):
+    """A gang was refused after one run that had failed on three workers."""
+    gang = spec('gang', PolicyKind.gang, gang_size=16)
+    for now_s in range(3):
+        assert scheduler.submit(gang, now_s) is None
+        placements = scheduler.decide(now_s).placements
+        assert len({each.worker for each in placements}) == 4
+        for failed in placements:
+            scheduler.end_task(failed.task_id, TaskEnd.failed, now_s)
+    assert scheduler.submit(gang, 3).reason == 'repeated_failure'
+
+
 def test_observed_usage_reduces_free_capacity(scheduler):
     """Guard against placing tasks beside one that exceeds its size."""
     constraints = {'worker': 'worker-0'}
