Count a failed run of a gang once at the owner of a partition

Callers saw a gang end as failed (task_failed) after its first run, with two retries left, when three of its tasks failed together. The retry budget of its team was spent by each failed task, so that one failed run of a large gang used up the retries of the team, and its next failures ended as retry_budget_spent.

A run had no number here that an owner could count by.

The scheduler now numbers the runs of a request in its placements, and an owner counts a failed run once by that number. A run is placed only once all tasks of the former one have ended, so they all have the number that was placed last. The retry is delayed whichever task ends last: with a flag of the request instead of the end that was heard last, a gang whose last task was stopped no longer runs again at once.

--- a/packages/currantreach-daemon/src/currantreach_daemon/_dispatcher.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_dispatcher.py
@@ -62,6 +62,7 @@
         # body hash from it.
         placement = attrs.evolve(placement, spec=entry.spec)
         entry.workers[placement.task_id] = placement.worker
+        entry.attempt = placement.attempt
         if entry.is_durable and not entry.is_recorded:
             entry.pending_starts.append(placement)
             return
@@ -119,7 +120,7 @@
                 self._completion.refuse(entry, refusals.DEADLINE_UNREACHABLE)
 
     def retry_failed(self, entry: RequestEntry) -> None:
-        """Retry a request after a task failure if the budget allows it."""
+        """Retry a request after a failed run if the budget allows it."""
         if not self._budget.try_spend(entry.spec.team):
             self._state.stop_tasks(entry)
             refusal = refusals.RETRY_BUDGET_SPENT
@@ -131,10 +132,8 @@
             )
             return
         self._state.context.metrics.record_retry('task_failed')
-        if entry.workers:
-            self.requeue_incomplete(entry)
-        else:
-            self._requeue_later(entry)
+        entry.is_retry_delayed = True
+        self.requeue_incomplete(entry)
 
     def count_request(self, entry: RequestEntry) -> None:
         """Count a new request towards the retry budget of its team."""
@@ -178,9 +177,7 @@
                 reason='gang_incomplete',
             )
         else:
-            entry.is_broken = False
-            entry.outputs.clear()
-            self.requeue(entry)
+            self._run_again(entry)
 
     def on_not_started(self, placement: Placement) -> None:
         """Requeue a request whose start had no effect."""
@@ -193,6 +190,16 @@
         if not entry.is_closing:
             self.requeue_incomplete(entry)
 
+    def _run_again(self, entry: RequestEntry) -> None:
+        """Queue a request again, after a delay if its last run failed."""
+        entry.is_broken = False
+        entry.outputs.clear()
+        if entry.is_retry_delayed:
+            entry.is_retry_delayed = False
+            self._requeue_later(entry)
+        else:
+            self.requeue(entry)
+
     def _send(self, entry: RequestEntry, placement: Placement) -> None:
         link = self._state.links.get(placement.worker)
         is_closed = placement.worker in self._state.closed
--- a/packages/currantreach-daemon/src/currantreach_daemon/_requests.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_requests.py
@@ -112,7 +112,11 @@
     :ivar pending_starts: placements that wait for the journal record.
     :ivar workers: worker of each task that may be running, by task id.
     :ivar outputs: output of each finished task, by task id.
-    :ivar failure_count: number of task failures.
+    :ivar attempt: number of its last run, 0 if this owner has placed none.
+    :ivar counted_attempt: number of the last failed run that is counted, -1
+        for none.
+    :ivar failure_count: number of failed runs.
+    :ivar is_retry_delayed: whether the next run waits, as the last one failed.
     :ivar retry_count: number of delayed retries.
     :ivar pending_end: final answer that waits until the acceptance is
         recorded.
@@ -136,7 +140,10 @@
     pending_starts: list[Placement] = attrs.field(factory=list)
     workers: dict[str, str] = attrs.field(factory=dict)
     outputs: dict[str, str] = attrs.field(factory=dict)
+    attempt: int = 0
+    counted_attempt: int = -1
     failure_count: int = 0
+    is_retry_delayed: bool = False
     retry_count: int = 0
     pending_end: Answer | None = None
     intents: dict[str, StartIntent] = attrs.field(factory=dict)
@@ -148,6 +155,17 @@
         """Return the id of the request."""
         return self.answer.request_id
 
+    def count_failure(self) -> bool:
+        """Count the failure of the last run; return whether it is new.
+
+        A run of a gang fails once, however many of its tasks do.
+        """
+        if self.counted_attempt >= self.attempt:
+            return False
+        self.counted_attempt = self.attempt
+        self.failure_count += 1
+        return True
+
 
 class RequestTable:
     """Open requests, and ended ones until they are retired.
--- a/packages/currantreach-daemon/src/currantreach_daemon/_task_events.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_task_events.py
@@ -177,34 +177,44 @@
                     entry, RequestState.failed, reason='cancelled'
                 )
             return
+        has_run_failed = False
         if task.phase == TaskPhase.failed:
-            self._count_failure(entry, worker, task)
-        self._end_or_retry(entry, task.phase)
+            has_run_failed = self._count_failure(entry, worker, task)
+        self._end_or_retry(entry, task.phase, has_run_failed)
 
     def _count_failure(
         self,
         entry: RequestEntry,
         worker: str,
         task: WorkerTask,
-    ) -> None:
-        entry.failure_count += 1
+    ) -> bool:
+        """Count a failed run once; return whether this task is the first."""
+        is_counted = entry.count_failure()
         self._state.log(
             'task_failed',
             task=task.task_id,
             worker=worker,
+            attempt=entry.attempt,
             run_ms=task.run_ms,
             failures=entry.failure_count,
             most=_FAILURE_LIMIT,
+            is_counted=is_counted,
         )
+        return is_counted
 
-    def _end_or_retry(self, entry: RequestEntry, phase: TaskPhase) -> None:
+    def _end_or_retry(
+        self,
+        entry: RequestEntry,
+        phase: TaskPhase,
+        has_run_failed: bool,
+    ) -> None:
         is_limit_reached = entry.failure_count >= _FAILURE_LIMIT
         if entry.spec.is_unrepeatable or is_limit_reached:
             self._state.stop_tasks(entry)
             self._completion.end(
                 entry, RequestState.failed, reason=f'task_{phase}'
             )
-        elif phase == TaskPhase.failed:
+        elif has_run_failed:
             self._dispatcher.retry_failed(entry)
         else:
             self._dispatcher.requeue_incomplete(entry)
--- a/packages/currantreach-daemon/tests/test_gang_retries.py
+++ b/packages/currantreach-daemon/tests/test_gang_retries.py
@@ -141,9 +141,9 @@
 def fail_again(simulate, logged):
     """Return a function that runs a scenario with a task that fails once.
 
-    The scenario gets the worker of the task, makes the owner hear of the failure,
-    and returns events that let a call answer which lists the failed run. The
-    calls answer after the task has been started again.
+    The scenario gets the worker of the task, makes the owner hear of the
+    failure, and returns events. They are set after the task has been started
+    again, and let a call answer that lists the failed run.
     """
 
     def run(hear_of_failure):
@@ -151,7 +151,7 @@
             spec = cell.spec(expected_run_s=30)
             await cell.submit(spec)
             await asyncio.sleep(1)
-            (worker,) = cell.all_workers()
+            worker = cell.workers['w0']
             released = await hear_of_failure(cell, worker, spec)
             while cell.start_count(spec.request_id) < 2:
                 await asyncio.sleep(0.01)
--- a/packages/currantreach-daemon/tests/test_owner.py
+++ b/packages/currantreach-daemon/tests/test_owner.py
@@ -573,7 +573,9 @@
         answer = await cell.final_answer(spec.request_id)
         assert answer.reason == 'task_failed'
         counts = [line.split('failures=')[1] for line in logged('task_failed')]
-        assert counts == ['1 most=3', '2 most=3', '3 most=3']
+        assert counts == [
+            f'{count} most=3 is_counted=True' for count in (1, 2, 3)
+        ]
 
     simulate(scenario)
 
--- a/packages/currantreach-decisions/src/currantreach_decisions/_base.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_base.py
@@ -170,6 +170,8 @@
                 spec=spec,
                 worker=worker,
                 resources=allocated,
+                # Each submission starts one run.
+                attempt=request.sequence,
             )
             self._on_placed(self._ledger.place(placement, now_s))
             placements.append(placement)
--- a/packages/currantreach-decisions/src/currantreach_decisions/_scheduler.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_scheduler.py
@@ -54,12 +54,16 @@
     :ivar spec: the request that it belongs to.
     :ivar worker: name of the worker.
     :ivar resources: allocated resources, at least the declared ones.
+    :ivar attempt: number of the run that the task belongs to, 0 if it is not
+        known. All tasks of a gang share it, and a later run of the same
+        request has a higher one.
     """
 
     task_id: str
     spec: TaskSpec
     worker: str
     resources: Resources
+    attempt: int = 0
 
 
 @attrs.frozen(slots=True, kw_only=True)
