Refuse a job only after several failed runs

Callers saw a gang end as failed (repeated_failure) at its first retry when its tasks had failed on three workers, and for the next 60 s all requests of the same team and workload were refused with that reason.

A job counted as one that fails everywhere by the number of workers on which any of its tasks had failed, and the tasks of one run of a gang are on many workers.

A job is now refused only if it has failed in three runs as well, which the numbers of the runs tell apart; for single tasks each failure is a run, so nothing changes for them. Failures of a job on several workers still do not count against these workers, so that a failing gang quarantines none.

--- a/packages/currantreach-daemon/tests/test_gang_retries.py
+++ b/packages/currantreach-daemon/tests/test_gang_retries.py
@@ -137,6 +137,20 @@
     simulate(scenario)
 
 
+def test_gang_that_fails_on_all_workers_is_retried(simulate, start_gang):
+    """A gang was refused at its retry as it had failed on three workers.
+
+    For a minute, all requests of its team and workload were refused as well.
+    """
+
+    async def scenario(cell):
+        spec = await start_gang(cell, 4 * MEMBER_COUNT)
+        fail_members(cell, spec, 4 * MEMBER_COUNT)
+        assert await finished(cell, spec)
+
+    simulate(scenario, worker_count=4)
+
+
 @pytest.fixture
 def fail_again(simulate, logged):
     """Return a function that runs a scenario with a task that fails once.
--- a/packages/currantreach-decisions/src/currantreach_decisions/_health.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_health.py
@@ -40,18 +40,42 @@
 
 @attrs.define(slots=True, eq=False)
 class _JobHealth:
-    """Workers on which a job failed since its last success."""
+    """Failures of a job since its last success.
+
+    :ivar workers: names of the workers on which it failed.
+    :ivar failed_runs: request ids and numbers of failed runs, as many as
+        matter. Tasks of a gang that fail together on several workers are one
+        failed run.
+    """
 
     workers: set[str] = attrs.field(factory=set)
+    failed_runs: set[tuple[str, int]] = attrs.field(factory=set)
     failed_at_s: float = 0
 
+    def add(self, worker: str, run: tuple[str, int], now_s: float) -> None:
+        """Add the failure of a task."""
+        self.workers.add(worker)
+        if len(self.failed_runs) < _JOB_STREAK:
+            self.failed_runs.add(run)
+        self.failed_at_s = now_s
+
+    def has_failed_on_several_workers(self) -> bool:
+        """Tell whether the failures are more likely those of the job."""
+        return len(self.workers) >= _JOB_STREAK
+
+    def is_bad(self) -> bool:
+        """Tell whether the job should not be started for now."""
+        if len(self.failed_runs) < _JOB_STREAK:
+            return False
+        return self.has_failed_on_several_workers()
+
 
 class Health:
     """Distinguish failing workers from failing jobs.
 
     A job is identified by its request id and by its team and workload.
     Failures of a job that failed on several workers do not count against a
-    worker.
+    worker. The job itself is refused only once several of its runs failed.
 
     :ivar quarantined: names of workers that receive only probes.
     """
@@ -73,20 +97,29 @@
             return True
         return False
 
-    def failed(self, spec: TaskSpec, worker: str, now_s: float) -> bool:
-        """Record a failure; return whether it starts a quarantine."""
+    def failed(
+        self,
+        spec: TaskSpec,
+        worker: str,
+        attempt: int,
+        now_s: float,
+    ) -> bool:
+        """Record a failed task; return whether it starts a quarantine.
+
+        :param attempt: number of the run that the task belongs to.
+        """
         if worker in self.quarantined:
             self._extend_quarantine(self._workers[worker], now_s)
             return False
-        is_bad_job = False
+        is_fault_of_job = False
         for name in _jobs_of(spec):
             job = self._jobs.setdefault(name, _JobHealth())
-            job.workers.add(worker)
-            job.failed_at_s = now_s
-            is_bad_job = is_bad_job or len(job.workers) >= _JOB_STREAK
+            job.add(worker, (spec.request_id, attempt), now_s)
+            if job.has_failed_on_several_workers():
+                is_fault_of_job = True
         while len(self._jobs) > _JOB_LIMIT:
             self._jobs.popitem(last=False)
-        if is_bad_job:
+        if is_fault_of_job:
             return False
         health = self._workers.setdefault(worker, _WorkerHealth())
         health.failed_request_ids.add(spec.request_id)
@@ -101,7 +134,7 @@
         """Tell whether a job recently failed on several healthy workers."""
         for name in _jobs_of(spec):
             job = self._jobs.get(name)
-            if job is None or len(job.workers) < _JOB_STREAK:
+            if job is None or not job.is_bad():
                 continue
             if now_s - job.failed_at_s < _JOB_BLOCK_S:
                 return True
--- a/packages/currantreach-decisions/src/currantreach_decisions/_indexed.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_indexed.py
@@ -320,7 +320,9 @@
         if end is TaskEnd.finished:
             has_changed = self._health.succeeded(task.spec, task.worker)
         elif end is TaskEnd.failed:
-            has_changed = self._health.failed(task.spec, task.worker, now_s)
+            has_changed = self._health.failed(
+                task.spec, task.worker, task.attempt, now_s
+            )
         else:
             self._health.end_probe(task.worker)
             return
--- a/packages/currantreach-decisions/src/currantreach_decisions/_ledger.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_ledger.py
@@ -64,6 +64,7 @@
     :ivar started_at_s: time of the placement.
     :ivar is_preempted: whether it was chosen for preemption.
     :ivar observed: peak of the reported usage.
+    :ivar attempt: number of the run that it belongs to.
     """
 
     task_id: str
@@ -71,6 +72,7 @@
     worker: str
     allocated: Resources
     started_at_s: float
+    attempt: int
     is_preempted: bool = False
     observed: Resources = EMPTY
 
@@ -191,6 +193,7 @@
             worker=placement.worker,
             allocated=EMPTY,
             started_at_s=now_s,
+            attempt=placement.attempt,
         )
         self.tasks[task.task_id] = task
         self._by_worker.setdefault(task.worker, {})[task.task_id] = task
--- a/packages/currantreach-decisions/tests/test_policies.py
+++ b/packages/currantreach-decisions/tests/test_policies.py
@@ -124,7 +124,7 @@
     assert len(scheduler.decide(1).placements) == 1
 
 
-def test_failed_runs_of_a_gang_are_counted_as_runs(scheduler):
+def test_failed_run_on_several_workers_is_one_failure(scheduler):
     """A gang was refused after one run that had failed on three workers."""
     gang = spec('gang', PolicyKind.gang, gang_size=16)
     for now_s in range(3):
