Number the runs of tasks in the messages of workers

Callers could see a request end as failed with retries left, and a worker of the product's own interface could get more tasks than it has room for: a failed end counted again for the retry, and the resources of the running retry were freed.

The answers of a worker to different calls overtake each other. The inventory of a renewal, a batch of events or the inventory of an adoption could be read before a failed run was deleted on the worker, and arrive after the retry had been placed or started there. Nothing in a report told the two runs apart.

A start order now has the number of its run, which the worker reports with the task. A link ignores reports of runs before the last one that it has queued, sent or seen (former_run_listed), does not settle a start in flight by them, and takes a run as lost only if the same run was there before the inventory was requested. Reports of a worker that does not know the field are believed as before.

--- a/packages/currantreach-daemon/src/currantreach_daemon/_task_events.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_task_events.py
@@ -194,7 +194,7 @@
             'task_failed',
             task=task.task_id,
             worker=worker,
-            attempt=entry.attempt,
+            attempt=task.attempt or entry.attempt,
             run_ms=task.run_ms,
             failures=entry.failure_count,
             most=_FAILURE_LIMIT,
--- a/packages/currantreach-daemon/src/currantreach_daemon/_worker_link.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_worker_link.py
@@ -6,7 +6,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from currantreach_telemetry import log_warning
+from currantreach_daemon._link_runs import LinkRuns
+from currantreach_telemetry import log_event, log_warning
 from currantreach_types import (
     StartOrder,
     StartOutcome,
@@ -18,8 +19,9 @@
 from currantreach_types.errors import StaleEpochError, WorkerUnavailableError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable, Mapping
 
+    from currantreach_daemon._link_runs import RunNumber
     from currantreach_decisions import Placement
     from currantreach_platform import WorkerClient
     from currantreach_types import (
@@ -102,10 +104,8 @@
         self._listener = listener
         self._claim_valid_until_s = claim_valid_until_s
         self._lease_s = lease_s
-        self._start_queue: list[Placement] = []
+        self._runs = LinkRuns(epoch)
         self._wakeup = asyncio.Event()
-        self._in_flight: dict[str, tuple[Placement, int]] = {}
-        self._running: set[str] = set()
         self._is_stale = False
         self.boot_id = ''
         self._sequence = 0
@@ -138,7 +138,7 @@
 
     def start(self, placement: Placement) -> None:
         """Queue the start of a task."""
-        self._start_queue.append(placement)
+        self._runs.queued[placement.task_id] = placement
         self._wakeup.set()
 
     def update_worker(self, worker: WorkerInfo) -> None:
@@ -170,8 +170,8 @@
         if self.is_connected:
             self.is_connected = False
             self._listener.worker_disconnected(self.worker.name)
-        placements = self._start_queue
-        self._start_queue = []
+        placements = tuple(self._runs.queued.values())
+        self._runs.queued.clear()
         for placement in placements:
             self._listener.task_not_started(placement)
 
@@ -190,7 +190,7 @@
             self._mark_all_lost()
         self.boot_id = inventory.boot_id
         self._sequence = inventory.sequence
-        self._reconcile(inventory, frozenset(self._running))
+        self._reconcile(inventory, dict(self._runs.running))
         self.is_connected = True
         self._listener.worker_adopted(self.worker.name, inventory)
 
@@ -227,11 +227,11 @@
                 raise WorkerUnavailableError(
                     'the address of the worker has changed; adopt it again',
                 )
-            batch = self._start_queue
-            self._start_queue = []
+            batch = list(self._runs.queued.values())
+            self._runs.queued.clear()
             if batch:
                 await self._send_batch(batch)
-            if self._in_flight:
+            if self._runs.in_flight:
                 raise WorkerUnavailableError(
                     'the outcome of a start is unknown; adopt the worker again',
                 )
@@ -247,14 +247,14 @@
                 self._listener.task_not_started(refused)
             return
         for placement in batch:
-            self._in_flight[placement.task_id] = (placement, start_by_ms)
+            self._runs.in_flight[placement.task_id] = (placement, start_by_ms)
         self._extend_lease_end(start_by_s)
         outcomes = await self._client.start(self.worker, orders)
         for outcome in outcomes:
             self._apply_outcome(outcome)
 
     def _apply_outcome(self, outcome: StartResult) -> None:
-        in_flight = self._in_flight.pop(outcome.task_id, None)
+        in_flight = self._runs.in_flight.pop(outcome.task_id, None)
         if in_flight is None:
             # An event or an inventory reported the task before the answer
             # arrived.
@@ -264,13 +264,13 @@
             self._listener.task_not_started(placement)
             raise StaleEpochError('another owner has this worker')
         if outcome.outcome == StartOutcome.started:
-            self._running.add(outcome.task_id)
+            self._runs.running[outcome.task_id] = self._epoch, placement.attempt
             self._listener.task_reported(
                 self.worker.name,
                 _started_task(placement, self._epoch),
             )
         elif outcome.outcome == StartOutcome.known:
-            self._in_flight[outcome.task_id] = (placement, start_by_ms)
+            self._runs.in_flight[outcome.task_id] = (placement, start_by_ms)
         else:
             self._listener.task_not_started(placement)
 
@@ -279,7 +279,7 @@
             await asyncio.sleep(self._lease_s / _RENEWALS_PER_LEASE)
             if self._clock.now_s() >= self._claim_valid_until_s():
                 continue
-            running = frozenset(self._running)
+            running = dict(self._runs.running)
             inventory = await self._renew()
             self._check_boot(inventory.boot_id)
             self._sync_clock(inventory.clock_ms)
@@ -300,19 +300,27 @@
     def _reconcile(
         self,
         inventory: Inventory,
-        running: frozenset[str],
+        running: Mapping[str, RunNumber],
     ) -> None:
         """Reconcile the known tasks with an inventory.
 
-        :param running: tasks that ran before the inventory was requested;
+        :param running: runs before the inventory was requested, by task id;
             only these are lost if it does not list them.
         """
         if inventory.sequence < self._sequence:
             # Events that arrived earlier are newer than this inventory.
             return
-        listed = frozenset(task.task_id for task in inventory.tasks)
+        listed = frozenset(
+            task.task_id
+            for task in inventory.tasks
+            if not self._runs.is_former(task)
+        )
         self._resolve_in_flight(inventory, listed)
-        self._mark_lost(running - listed)
+        self._mark_lost(
+            task_id
+            for task_id, run in running.items()
+            if task_id not in listed and self._runs.running.get(task_id) == run
+        )
         for task in inventory.tasks:
             self._report(task)
 
@@ -322,27 +330,38 @@
         listed: frozenset[str],
     ) -> None:
         for task_id, (placement, start_by_ms) in tuple(
-            self._in_flight.items(),
+            self._runs.in_flight.items(),
         ):
             if task_id in listed:
-                self._in_flight.pop(task_id)
+                self._runs.in_flight.pop(task_id)
             elif inventory.clock_ms > start_by_ms:
-                self._in_flight.pop(task_id)
+                self._runs.in_flight.pop(task_id)
                 self._listener.task_not_started(placement)
-        if self._in_flight:
+        if self._runs.in_flight:
             self._wakeup.set()
 
-    def _mark_lost(self, task_ids: frozenset[str]) -> None:
-        for task_id in self._running & task_ids:
-            self._running.discard(task_id)
+    def _mark_lost(self, task_ids: Iterable[str]) -> None:
+        for task_id in tuple(task_ids):
+            self._runs.running.pop(task_id, None)
             self._listener.task_lost(self.worker.name, task_id)
 
     def _report(self, task: WorkerTask) -> None:
-        self._in_flight.pop(task.task_id, None)
+        if self._runs.is_former(task):
+            log_event(
+                'former_run_listed',
+                worker=self.worker.name,
+                task=task.task_id,
+                epoch=task.epoch,
+                attempt=task.attempt,
+                phase=task.phase,
+            )
+            return
+        run = self._runs.run_of(task)
+        self._runs.in_flight.pop(task.task_id, None)
         if task.phase == TaskPhase.running:
-            self._running.add(task.task_id)
+            self._runs.running[task.task_id] = run
         else:
-            self._running.discard(task.task_id)
+            self._runs.running.pop(task.task_id, None)
         self._listener.task_reported(self.worker.name, task)
 
     def _expire_tasks(self) -> None:
@@ -353,9 +372,9 @@
         return self._clock.now_s() >= self._lease_end_s + _LOSS_MARGIN_S
 
     def _mark_all_lost(self) -> None:
-        self._mark_lost(frozenset(self._running))
-        for placement, _start_by_ms in tuple(self._in_flight.values()):
-            self._in_flight.pop(placement.task_id)
+        self._mark_lost(self._runs.running)
+        for placement, _start_by_ms in tuple(self._runs.in_flight.values()):
+            self._runs.in_flight.pop(placement.task_id)
             self._listener.task_lost(self.worker.name, placement.task_id)
 
     def _extend_lease_end(self, from_s: float) -> None:
@@ -380,6 +399,7 @@
             run_ms=int(min(spec.expected_run_s, _RUN_LIMIT_S) * _MS_PER_S),
             spec_json=encode_json(spec).decode(),
             boot_id=self.boot_id,
+            attempt=placement.attempt,
         )
 
 
@@ -389,4 +409,5 @@
         epoch=epoch,
         phase=TaskPhase.running,
         resources=placement.resources,
+        attempt=placement.attempt,
     )
--- a/packages/currantreach-daemon/tests/conftest.py
+++ b/packages/currantreach-daemon/tests/conftest.py
@@ -63,7 +63,8 @@
     lose after the effect of the call, ``dropped`` the calls to lose before it,
     and ``broken`` the answers that raise an unexpected error in the client.
     ``delays`` maps a call and ``'effect'`` or ``'answer'`` to an event that
-    this part of the call waits for.
+    this part of the call waits for. ``reports_attempts`` is off for a worker
+    that does not know the numbers of runs.
     """
 
     def __init__(self, cell, name, slots=SLOTS):
@@ -77,6 +78,7 @@
         self.delays = {}
         self.is_unreachable = False
         self.fails = False
+        self.reports_attempts = True
         self.padding = ''
         self.boot = 0
         self.restart()
@@ -179,6 +181,7 @@
             resources=task.order.resources,
             output=task.output,
             spec_json=task.order.spec_json,
+            attempt=task.order.attempt * self.reports_attempts,
         )
 
     def inventory(self):
--- a/packages/currantreach-daemon/tests/test_gang_retries.py
+++ b/packages/currantreach-daemon/tests/test_gang_retries.py
@@ -151,6 +151,29 @@
     simulate(scenario, worker_count=4)
 
 
+def test_worker_without_numbers_of_runs_is_believed(simulate, start_gang):
+    """Failures must count, and a gang be retried, on workers that report none.
+
+    Such a worker does not know the field of the start order.
+    """
+
+    async def scenario(cell):
+        for worker in cell.all_workers():
+            worker.reports_attempts = False
+        spec = await start_gang(cell)
+        fail_members(cell, spec, MEMBER_COUNT)
+        await asyncio.sleep(10)
+        assert cell.start_count(spec.request_id) == 2 * MEMBER_COUNT
+        for failing in cell.all_workers():
+            failing.fails = True
+        fail_members(cell, spec, MEMBER_COUNT)
+        answer = await cell.final_answer(spec.request_id)
+        assert (answer.state, answer.reason) == ('failed', 'task_failed')
+        assert cell.start_count(spec.request_id) == RUN_LIMIT * MEMBER_COUNT
+
+    simulate(scenario)
+
+
 @pytest.fixture
 def fail_again(simulate, logged):
     """Return a function that runs a scenario with a task that fails once.
--- a/packages/currantreach-platform/tests/test_http_workers.py
+++ b/packages/currantreach-platform/tests/test_http_workers.py
@@ -106,6 +106,18 @@
     assert await cell.phases() == {'a': 'running'}
 
 
+async def test_number_of_a_run_is_reported(cell, order):
+    """Guard against reports that do not tell a run from the former one."""
+    await cell.start(order('a', attempt=7))
+
+    inventory = await cell.adopt(1)
+    await cell.client.stop(cell.worker(), 1, ['a'])
+    events = await cell.client.events(cell.worker(), 0, 1)
+
+    assert [task.attempt for task in inventory.tasks] == [7]
+    assert [task.attempt for task in events.tasks] == [7]
+
+
 async def test_late_and_repeated_starts(cell, order, clock):
     """Guard against a start after its deadline, as by a paused owner."""
     assert await cell.start(order('a'), order('a')) == ['started', 'known']
--- a/packages/currantreach-standins/src/currantreach_standins/_fleet_tasks.py
+++ b/packages/currantreach-standins/src/currantreach_standins/_fleet_tasks.py
@@ -169,6 +169,7 @@
             output=self.output,
             run_ms=run_ms,
             spec_json=self.order.spec_json,
+            attempt=self.order.attempt,
         )
 
     def _speed(self) -> float:
--- a/packages/currantreach-types/src/currantreach_types/_workers.py
+++ b/packages/currantreach-types/src/currantreach_types/_workers.py
@@ -84,6 +84,8 @@
     :ivar spec_json: encoded request, returned in the inventory.
     :ivar boot_id: boot id of the worker that may start it, empty for any.
         ``start_by_ms`` is a reading of the clock of that process.
+    :ivar attempt: number of the run, which the worker reports with the task. A
+        later run of the same task has a higher one.
     """
 
     task_id: str
@@ -94,6 +96,7 @@
     run_ms: int
     spec_json: str = ''
     boot_id: str = ''
+    attempt: int = 0
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -116,6 +119,8 @@
     :ivar output: output of a finished task.
     :ivar run_ms: milliseconds that it has run so far, or in total.
     :ivar spec_json: encoded request that came with the start order.
+    :ivar attempt: number of its run in the start order, 0 if the worker does
+        not report it.
     """
 
     task_id: str
@@ -126,6 +131,7 @@
     output: str = ''
     run_ms: int = 0
     spec_json: str = ''
+    attempt: int = 0
 
 
 @attrs.frozen(slots=True, kw_only=True)
