Retire a run that a worker has kept before its task starts there again

Callers saw a failure too many: a run that an owner had given up with its worker failed there, and counted when the task was placed on that worker again.

Cause: the worker keeps the ended run until it is retired, and answers the start with known. The owner had processed the end as that of an orphan, without noting that the worker still had the task, so it sent the start at once, and then took the end of the former run for that of the retry.

The end of an orphan of an open request is now noted like any other end, so that the run is retired before the next start there.

Evidence: test_lost_run_that_is_kept_counts_no_failure fails without the change (two failures instead of one) and passes with it; 186 tests of the daemon pass.

--- a/packages/currantreach-daemon/src/currantreach_daemon/_completion.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_completion.py
@@ -136,6 +136,9 @@
         else:
             self._free_if_placed(entry, worker, task.task_id)
             if entry is not None and not entry.ended.is_set():
+                # The worker keeps the task. It has to be retired before it can
+                # be started there again.
+                entry.ended_on |= {(worker, task.task_id)}
                 self.retire_later(entry, worker, task)
             else:
                 self.retire_task(worker, task.task_id)
--- a/packages/currantreach-daemon/tests/test_gang_retries.py
+++ b/packages/currantreach-daemon/tests/test_gang_retries.py
@@ -258,3 +258,32 @@
         return []
 
     fail_again(hear_of_failure)
+
+
+def test_lost_run_that_is_kept_counts_no_failure(simulate, logged):
+    """A failed run that was given up counted when its worker was used again.
+
+    The worker kept that run, so it did not carry out the start, and the owner
+    took the failure of the former run for that of the retry.
+    """
+
+    async def scenario(cell):
+        spec = cell.spec(expected_run_s=100)
+        await cell.submit(spec)
+        await asyncio.sleep(1)
+        first = cell.workers[cell.workers_of(spec.request_id)[0]]
+        first.end(f'{spec.request_id}/0', TaskPhase.failed)
+        first.is_unreachable = True
+        await asyncio.sleep(LEASE_S + 10)
+        second = cell.workers[cell.workers_of(spec.request_id)[0]]
+        assert second is not first
+        first.is_unreachable = False
+        await asyncio.sleep(5)
+        cell.closed = {second.name}
+        cell.publish_hosts()
+        second.end(f'{spec.request_id}/0', TaskPhase.failed)
+        assert await finished(cell, spec)
+        assert len(logged('task_failed')) == 1
+        assert cell.start_count(spec.request_id) == 3
+
+    simulate(scenario)
