--- a/packages/currantreach-daemon/tests/conftest.py
+++ b/packages/currantreach-daemon/tests/conftest.py
@@ -126,6 +126,8 @@
         """End a task."""
         task = self.tasks[name]
         task.phase = phase
+        if phase == TaskPhase.failed:
+            self.cell.record_failure(task.order)
         if phase == TaskPhase.finished:
             task.output = f'{name}@{self.name}{self.padding}'
         self.event_log.append(name)
@@ -486,7 +488,8 @@
 class Cell:
     """Workers, a journal and the successive owners of one partition.
 
-    ``violations`` collects each breach of a guarantee that a worker sees.
+    ``violations`` collects each breach of a guarantee that a worker sees, and
+    ``failed_runs`` the runs of each request of which a task has failed.
     """
 
     def __init__(self, loop, worker_count=2, **options):
@@ -495,6 +498,7 @@
         self.client = FakeWorkers(self)
         self.workers = {}
         self.starts = []
+        self.failed_runs = collections.defaultdict(set)
         self.calls = collections.defaultdict(list)
         self.violations = []
         self.options = {
@@ -525,6 +529,11 @@
         if len(worker.running) >= worker.capacity.slot_count:
             self.violations.append(f'{worker.name} is overcommitted')
 
+    def record_failure(self, order):
+        """Record the run of a failed task."""
+        request_id = order.task_id.rpartition('/')[0]
+        self.failed_runs[request_id].add((order.epoch, order.attempt))
+
     def all_workers(self):
         """Return all workers."""
         return tuple(self.workers.values())
--- a/packages/currantreach-daemon/tests/test_owner_machine.py
+++ b/packages/currantreach-daemon/tests/test_owner_machine.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 
 import pytest
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from currantreach_types import Resources
+from currantreach_types import Resources, TaskPhase
 
+# A request fails with its third failed run.
+RUN_LIMIT = 3
+# Retries that a team has without any earlier request.
+BUDGET_COUNT = 5
 _NUMBERS = st.integers(0, 9)
 _CALLS = ('start', 'renew', 'stop', 'retire', 'adopt')
 
@@ -103,6 +108,21 @@
         """Advance the virtual time."""
         self.runner.run(asyncio.sleep(step_s))
 
+    @stateful.precondition(lambda machine: machine.specs)
+    @stateful.rule(number=_NUMBERS, count=st.integers(1, 3))
+    def fail_tasks(self, number, count):
+        """End running tasks of a request as failed, at the same time."""
+        running = collections.defaultdict(list)
+        for worker in self.cell.all_workers():
+            for name in sorted(worker.running):
+                running[name.rpartition('/')[0]].append((worker, name))
+        if not running:
+            return
+        request_ids = sorted(running)
+        chosen = request_ids[number % len(request_ids)]
+        for failing, task_id in running[chosen][:count]:
+            failing.end(task_id, TaskPhase.failed)
+
     @stateful.rule(
         name=st.sampled_from(['w0', 'w1']), is_unreachable=st.booleans()
     )
@@ -169,6 +189,16 @@
         finally:
             self.runner.close()
 
+    def has_failed(self, answer):
+        """Tell whether a request failed as often as its answer says."""
+        failed_runs = self.cell.failed_runs
+        if answer.reason == 'task_failed':
+            return len(failed_runs[answer.request_id]) >= RUN_LIMIT
+        if answer.reason == 'retry_budget_spent':
+            total = sum(len(runs) for runs in failed_runs.values())
+            return failed_runs[answer.request_id] and total > BUDGET_COUNT
+        return False
+
     async def recover(self):
         """End all faults and check the final answer of each request."""
         self.cell.journal.is_down = False
@@ -183,7 +213,8 @@
             self.record_answers([answer])
             assert answer.state.is_final, (spec, answer)
             if spec.request_id in self.accepted and not spec.is_unrepeatable:
-                assert answer.state == 'finished', (spec, answer)
+                has_cause = answer.state == 'failed' and self.has_failed(answer)
+                assert answer.state == 'finished' or has_cause, (spec, answer)
         assert not any(worker.running for worker in self.cell.all_workers())
         used = sum(self.cell.owner.usage().values(), Resources())
         assert used == Resources()
