Play wide gangs, several gangs in a job and other attempts in the soak

The kind failing-gangs had one gang of up to four members in each job, and three attempts for all jobs. Two jobs in ten have a gang of eight members now, three in ten a second gang behind the first, and the attempts are 2, 3 and 4 by team. The draws of the other kinds are unchanged.

--- a/packages/currantreach-jobs/tests/test_random_gangs.py
+++ b/packages/currantreach-jobs/tests/test_random_gangs.py
@@ -1,9 +1,9 @@
 """Random series of failed runs of gangs, of all shapes, with leader changes.
 
-Jobs have one gang or several, wide ones, occurrences and any number of attempts.
-Members end together: as done, or as failed and broken in any mixture. A job may
-be shown as failed only after as many failed runs of one of its gangs, or of one
-of its tasks, as it has attempts, by what the workers listed.
+Jobs have one gang or several, wide ones, occurrences and any number of
+attempts. Members end together: as done, or as failed and broken in any mixture.
+A job may be shown as failed only after as many failed runs of one of its gangs,
+or of one of its tasks, as it has attempts.
 """
 
 from __future__ import annotations
@@ -21,7 +21,7 @@
 WORKER_COUNT = 6
 EVENT_COUNT = 40
 MAX_ATTEMPTS = 3
-# A lease, the wait for an earlier leader and the runs of the jobs that are open.
+# A lease, the wait for an earlier leader and the runs of all open jobs.
 RECOVERY_S = 120
 SMALL = Resources(cpu_milli=500, memory_mib=100)
 
--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -21,6 +21,9 @@
 _FAILING_SHARE = 0.07
 _RESUBMITTED_SHARE = 0.2
 _LONG_TASK_FACTOR = 8
+# A wide gang takes half of a team limit of 16 cores.
+_WIDE_COUNT = 8
+_WIDE_CPU = 1000
 
 
 @attrs.define
@@ -29,11 +32,16 @@
 
     :ivar long_share: share of the jobs whose tasks outlast a lease.
     :ivar gang_share: share of the jobs whose tasks are a gang.
+    :ivar wide_share: share of the gangs that are as wide as the fleet.
+    :ivar second_gang_share: share of the jobs with a gang in which another
+        gang follows.
     """
 
     jobs_per_s: float = 8
     long_share: float = 0
     gang_share: float = 0.3
+    wide_share: float = 0
+    second_gang_share: float = 0
 
 
 class Callers:
@@ -173,7 +181,7 @@
             step['estimateMs'] *= _LONG_TASK_FACTOR
         steps = [step]
         if shape < self.load.gang_share:
-            step['gang'] = True
+            steps = self._make_gangs(step)
         elif shape < self.load.gang_share + 0.2:
             steps.append({**step, 'after': [0]})
         has_failing_spec = random.random() < _FAILING_SHARE
@@ -181,3 +189,14 @@
         body = {'spec': spec, 'steps': steps}
         self.checker.jobs[job_id] = SubmittedJob(job_id, team, body)
         return job_id
+
+    def _make_gangs(self, step):
+        """Return one step with a gang, or two of them."""
+        random = self.random
+        step['gang'] = True
+        if self.load.wide_share and random.random() < self.load.wide_share:
+            step.update(count=_WIDE_COUNT, cpu=_WIDE_CPU)
+        share = self.load.second_gang_share
+        if share and random.random() < share:
+            return [step, {**step, 'count': random.randint(2, 4), 'after': [0]}]
+        return [step]
--- a/tests/soak/_cell.py
+++ b/tests/soak/_cell.py
@@ -24,7 +24,7 @@
 from tests.soak._keep_alive import KeepAliveClients
 from tests.soak._store import StoreStandIn
 from tests.soak._workers import FleetStandIn
-from tests.soak._world import MAX_ATTEMPTS, InvariantChecker
+from tests.soak._world import InvariantChecker
 
 _DAEMON_COUNT = 3
 _WORKER_COUNT = 6
@@ -37,6 +37,8 @@
 # Busy keep-alive connections to each daemon during planned maintenance.
 _KEEP_ALIVE_COUNT = 20
 _TEAM_LIMITS = {'limited': 16000}
+# Attempts of the jobs of a team in cells of failing gangs.
+_GANG_ATTEMPTS = {'steady': 2, 'advised': 4}
 _TEAMS = ('steady', 'limited', 'advised')
 # A daemon starts within a second on an idle machine.
 _START_TIMEOUT_S = 60
@@ -87,16 +89,19 @@
         about the daemons.
     """
 
-    def __init__(self, seed, directory, lease_limit_s=_LEASE_S):
+    def __init__(
+        self, seed, directory, lease_limit_s=_LEASE_S, max_attempts=None
+    ):
         """Create an empty directory and the stand-ins.
 
         :param lease_limit_s: longest lease that the workers grant.
+        :param max_attempts: see :class:`InvariantChecker`.
         """
         shutil.rmtree(directory, ignore_errors=True)
         directory.mkdir(parents=True)
         self.directory = directory
         self.random = random.Random(seed)
-        self.checker = InvariantChecker(_TEAM_LIMITS)
+        self.checker = InvariantChecker(_TEAM_LIMITS, max_attempts)
         self.store = StoreStandIn(seed)
         self.fleet = FleetStandIn(self.checker, self.store, seed, lease_limit_s)
         self.daemons = []
@@ -129,7 +134,8 @@
 
     def write_config(self, *, has_spare=False, idle_timeout_s=15):
         """Write the next version of the configuration."""
-        config = _build_config(_TEAMS + ('spare',) * has_spare)
+        teams = _TEAMS + ('spare',) * has_spare
+        config = _build_config(teams, self.checker.attempts_of)
         config['version'] = next(self._versions)
         config['limits'] = {'idleTimeoutMs': idle_timeout_s * 1000}
         self.store.write('op/config', json.dumps(config).encode())
@@ -243,7 +249,10 @@
     """
     has_long_tasks = kind.has_long_tasks
     cell = SoakCell(
-        seed, directory, _LONG_LEASE_S if has_long_tasks else _LEASE_S
+        seed,
+        directory,
+        _LONG_LEASE_S if has_long_tasks else _LEASE_S,
+        _GANG_ATTEMPTS if kind is FaultKind.FAILING_GANGS else None,
     )
     callers = Callers(
         cell.checker, cell.frontends, cell.random, _choose_load(kind)
@@ -286,7 +295,9 @@
         return Load(jobs_per_s=3, long_share=0.3)
     if kind is FaultKind.FAILING_GANGS:
         # Each job runs up to three times as long as it would.
-        return Load(jobs_per_s=5, gang_share=0.7)
+        return Load(
+            jobs_per_s=5, gang_share=0.7, wide_share=0.2, second_gang_share=0.3
+        )
     return Load()
 
 
@@ -300,16 +311,23 @@
             )
 
 
-def _build_config(teams):
+def _build_config(teams, attempts_of):
     queue = {
         'host': HOST,
         'service': 'passes',
         'priority': 1,
-        'maxAttempts': MAX_ATTEMPTS,
         'stretchFactor': 3,
         'targetDurationMs': 5000,
     }
-    queues = [{**queue, 'name': team, 'prefix': f'/{team}/'} for team in teams]
+    queues = [
+        {
+            **queue,
+            'name': team,
+            'prefix': f'/{team}/',
+            'maxAttempts': attempts_of(team),
+        }
+        for team in teams
+    ]
     queues[2]['recommendation'] = {
         'decideMs': 20,
         'periodMs': 1,
--- a/tests/soak/_world.py
+++ b/tests/soak/_world.py
@@ -64,13 +64,16 @@
     :ivar violations: violated rules with the details, in order.
     """
 
-    def __init__(self, team_limits):
+    def __init__(self, team_limits, max_attempts=None):
         """Start without jobs.
 
         :param team_limits: limit of each team in thousandths of a core, 0
             for no limit.
+        :param max_attempts: attempts of the jobs of a team, where it is not
+            ``MAX_ATTEMPTS``.
         """
         self.team_limits = team_limits
+        self.max_attempts = max_attempts or {}
         self.jobs = {}
         self.active_runs = []
         self.finished = set()
@@ -130,9 +133,8 @@
                     self.record_violation(
                         'order', f'{task} started before {dependency}'
                     )
-        if self._count_failures(self.acknowledged_failures, task) >= (
-            MAX_ATTEMPTS
-        ):
+        failure_count = self._count_failures(self.acknowledged_failures, task)
+        if failure_count >= self.attempts_of(job.team):
             self.record_violation('budget', f'{task} started again')
         run = Run(worker, task, attempt, time.monotonic())
         self.active_runs.append(run)
@@ -169,12 +171,16 @@
                 self._count_failures(self.listed_failures, task)
                 for task in self._tasks_of(job)
             )
-            if count < MAX_ATTEMPTS:
+            if count < self.attempts_of(job.team):
                 text = f'{job.job_id} shown failed after {count} failures'
                 self.record_violation('lost', text)
         if state == 'cancelled' and not job.is_cancelling:
             self.record_violation('lost', f'{job.job_id} shown cancelled')
 
+    def attempts_of(self, team):
+        """Return after how many failed runs the jobs of a team fail."""
+        return self.max_attempts.get(team, MAX_ATTEMPTS)
+
     def cpu_demand(self, task):
         """Return the thousandths of a core that a task needs."""
         return self.find_step(task)['cpu']
