Prove that a gang whose tasks fail together is retried

The proofs had one failing worker and no gang on it, so none of them saw the fault. The new one runs the real daemons: a gang as wide as a failure domain fails on all workers at once. The independent checker now asks for three failed runs, by the logs of the workers, of each request that ends as task_failed; they have the number of the run (attempt).

--- a/packages/currantreach-standins/src/currantreach_standins/_fleet_worker.py
+++ b/packages/currantreach-standins/src/currantreach_standins/_fleet_worker.py
@@ -274,6 +274,7 @@
             worker=self.name,
             task_id=task.order.task_id,
             epoch=task.order.epoch,
+            attempt=task.order.attempt,
             phase=task.phase,
             **more,
         )
--- a/packages/currantreach-standins/src/currantreach_standins/_task_log.py
+++ b/packages/currantreach-standins/src/currantreach_standins/_task_log.py
@@ -19,7 +19,7 @@
 
     Each line has ``event`` (``start``, ``end``, ``breach``, or ``held`` for a
     start that a frozen or dead worker received), ``worker``, ``task_id``,
-    ``epoch``, ``wall_s`` and ``phase``.
+    ``epoch``, ``wall_s`` and ``phase``, and ``attempt`` unless it was held.
     """
 
     def __init__(self, path: pathlib.Path | None = None) -> None:
--- a/proofs/_report.py
+++ b/proofs/_report.py
@@ -36,6 +36,7 @@
         'lost': ('P6',),
         'incomplete': ('P5',),
         'over_limit': ('P4',),
+        'failed_early': ('P6',),
     },
 )
 
--- a/proofs/test_workers.py
+++ b/proofs/test_workers.py
@@ -10,7 +10,14 @@
 import attrs
 import pytest
 
-from proofs._load import CHECK, PREVIEW, SCAN, LoadGenerator, count_final_states
+from proofs._load import (
+    CHECK,
+    GANG,
+    PREVIEW,
+    SCAN,
+    LoadGenerator,
+    count_final_states,
+)
 from proofs._plans import DOMAINS, SHORT_LEASES, SMALL_PLAN
 
 if TYPE_CHECKING:
@@ -25,15 +32,32 @@
 # Documented time after which a worker listed as leaving receives no new work.
 LEAVING_BOUND_S = 5
 _LONG_RUN_S = 3
+_POLL_S = 0.02
+# A failed run is retried at most twice.
+_RUN_LIMIT = 3
+# As many tasks as the three workers of a domain have slots.
+_WIDE_GANG = attrs.evolve(GANG, gang_size=18)
+
+
+def worker_events(cell: Cell) -> Iterator[dict[str, Any]]:
+    """Iterate over what the workers have logged."""
+    for path in cell.worker_logs():
+        yield from map(json.loads, path.read_text().splitlines())
 
 
 def starts_on(cell: Cell, worker: str) -> Iterator[float]:
     """Iterate over the wall times of the starts on a worker."""
-    for path in cell.worker_logs():
-        for line in path.read_text().splitlines():
-            event = json.loads(line)
-            if event['event'] == 'start' and event['worker'] == worker:
-                yield event['wall_s']
+    for event in worker_events(cell):
+        if event['event'] == 'start' and event['worker'] == worker:
+            yield event['wall_s']
+
+
+def count_failed_tasks(cell: Cell) -> int:
+    """Return how many tasks have ended as failed."""
+    return sum(
+        event['event'] == 'end' and event['phase'] == 'failed'
+        for event in worker_events(cell)
+    )
 
 
 async def set_host_states(cell: Cell, states: dict[str, str]) -> None:
@@ -126,6 +150,30 @@
     assert done > len(load.sent) / 2, count_final_states(load.sent)
 
 
+@pytest.mark.proof('P6')
+async def test_gang_whose_tasks_fail_together_is_retried(
+    open_cell: Callable[..., Any],
+    report: ProofReport,
+) -> None:
+    """Guard against a gang that fails with retries left.
+
+    All workers fail each task until more tasks of the gang have failed than it
+    may have failed runs.
+    """
+    cell = await open_cell(SMALL_PLAN)
+    load = LoadGenerator(cell, SEED + 4)
+    for domain in DOMAINS:
+        await cell.inject(f'workers-{domain}', {'fail_all': True})
+        report.count_faults()
+    load.send(_WIDE_GANG)
+    while count_failed_tasks(cell) <= _RUN_LIMIT:
+        await asyncio.sleep(_POLL_S)
+    for healed in DOMAINS:
+        await cell.inject(f'workers-{healed}', {})
+    report.add_findings(await load.wait_and_check())
+    assert load.sent[0].state == 'finished', load.sent[0].answer
+
+
 @pytest.mark.proof('P8')
 async def test_leaving_worker_receives_nothing(
     open_cell: Callable[..., Any],
--- a/testbed/_checker.py
+++ b/testbed/_checker.py
@@ -22,6 +22,8 @@
 
 # Key of the kind of a line in the log of a worker.
 _EVENT = 'event'
+# A failed run is retried at most twice.
+_RUN_LIMIT = 3
 
 
 @attrs.define(slots=True, kw_only=True)
@@ -35,6 +37,7 @@
     :ivar lost: an accepted durable request got no final answer.
     :ivar incomplete: an output that lacks a part or is another request's.
     :ivar over_limit: the tasks of a team exceeded its upper limit.
+    :ivar failed_early: a request failed by its tasks with retries left.
     """
 
     over_commits: list[str] = attrs.field(factory=list)
@@ -43,6 +46,7 @@
     lost: list[str] = attrs.field(factory=list)
     incomplete: list[str] = attrs.field(factory=list)
     over_limit: list[str] = attrs.field(factory=list)
+    failed_early: list[str] = attrs.field(factory=list)
 
     def all(self) -> list[str]:
         """Return all violations, prefixed with their kind."""
@@ -93,6 +97,7 @@
     }
     _check_answers(sent, starts, excused, findings)
     _check_upper_limits(events, requests_by_id, upper_limits, findings)
+    _check_failures(events, sent, findings)
     return findings
 
 
@@ -192,6 +197,25 @@
             _check_team_limits(request.team, usage, upper_limits, findings)
 
 
+def _check_failures(
+    events: Iterable[Mapping[str, Any]],
+    sent: Iterable[SentRequest],
+    findings: Findings,
+) -> None:
+    """Check that a request which its tasks failed has had all its runs."""
+    failed_runs: dict[str, set[tuple[int, int]]] = collections.defaultdict(set)
+    for event in events:
+        if event[_EVENT] == 'end' and event['phase'] == 'failed':
+            request_id = event['task_id'].rpartition('/')[0]
+            failed_runs[request_id].add((event['epoch'], event['attempt']))
+    for request in sent:
+        is_failed = request.answer.get('reason') == 'task_failed'
+        if is_failed and not request.body.get('is_unrepeatable', False):
+            count = len(failed_runs[request.request_id])
+            if count < _RUN_LIMIT:
+                findings.failed_early.append(f'{request.request_id} {count}')
+
+
 def _check_team_limits(
     name: str,
     used: Mapping[str, int],
--- a/tests/test_testbed.py
+++ b/tests/test_testbed.py
@@ -89,3 +89,35 @@
     findings = check_logs([log], [sent], {}, {'frozen'})
     assert bool(findings.lost) is is_lost
     assert not findings.doubled
+
+
+@pytest.mark.parametrize(
+    ('attempts', 'is_early'),
+    [([1, 1, 1], True), ([1, 1, 2], True), ([1, 2, 3], False)],
+)
+def test_gang_may_fail_with_its_third_run(tmp_path, attempts, is_early):
+    """Tasks that fail in one run are one failed run of their request."""
+    sent = SentRequest(
+        team='tine-lab',
+        workload='scan',
+        body={'payload': 'x', 'resources': {}},
+        request_id='r',
+        states=['accepted', 'failed'],
+        answer={'reason': 'task_failed'},
+    )
+    lines = [
+        {
+            'event': event,
+            'worker': 'w',
+            'task_id': f'r/{index}',
+            'epoch': 1,
+            'attempt': attempt,
+            'phase': 'failed' if event == 'end' else 'running',
+            'wall_s': index,
+        }
+        for index, attempt in enumerate(attempts)
+        for event in ('start', 'end')
+    ]
+    log = tmp_path / 'worker.log'
+    log.write_text('\n'.join(map(json.dumps, lines)))
+    assert bool(check_logs([log], [sent], {}).failed_early) is is_early
