--- a/testbed/_checker.py
+++ b/testbed/_checker.py
@@ -203,15 +203,16 @@
     findings: Findings,
 ) -> None:
     """Check that a request which its tasks failed has had all its runs."""
-    failed_runs: dict[str, set[tuple[int, int]]] = collections.defaultdict(set)
-    for event in events:
-        if event[_EVENT] == 'end' and event['phase'] == 'failed':
-            request_id = event['task_id'].rpartition('/')[0]
-            failed_runs[request_id].add((event['epoch'], event['attempt']))
+    failed_runs = {
+        (event['task_id'].rpartition('/')[0], event['epoch'], event['attempt'])
+        for event in events
+        if event.get('phase') == 'failed'
+    }
+    run_counts = collections.Counter(run[0] for run in failed_runs)
     for request in sent:
         is_failed = request.answer.get('reason') == 'task_failed'
         if is_failed and not request.body.get('is_unrepeatable', False):
-            count = len(failed_runs[request.request_id])
+            count = run_counts[request.request_id]
             if count < _RUN_LIMIT:
                 findings.failed_early.append(f'{request.request_id} {count}')
 
