Count failed runs of requests by the number that their reports have

Callers could see a failure too many when a worker still had a former run of a task that was being started there: the start ended as known, and the next list of the worker counted the former failure for the retry.

Cause: the owner counted a failure for the run that it had placed last, whichever run the report was about, so that each path on which a late report passes the link was a fault of its own.

An owner now counts a failed run by the epoch and number in the report, and a report about a run before the last one that it has placed only has the task stopped or retired; it frees no resources of the last run.

Evidence: test_former_run_that_a_worker_still_has_is_retired failed before with two failures for one failed run, and passes now with all tests of the daemon and the proofs of workers (192).

--- a/packages/currantreach-daemon/src/currantreach_daemon/_completion.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_completion.py
@@ -129,19 +129,28 @@
         task: WorkerTask,
     ) -> None:
         """Stop or retire a task that no request in progress waits for."""
+        if task.phase != TaskPhase.running:
+            self._free_if_placed(entry, worker, task.task_id)
+        self.end_former(entry, worker, task)
+
+    def end_former(
+        self,
+        entry: RequestEntry | None,
+        worker: str,
+        task: WorkerTask,
+    ) -> None:
+        """Stop or retire a task whose resources may be those of a later run."""
         if task.phase == TaskPhase.running:
             link = self._state.links.get(worker)
             if link is not None:
                 self._state.spawn(link.stop((task.task_id,)))
+        elif entry is None or entry.ended.is_set():
+            self.retire_task(worker, task.task_id)
         else:
-            self._free_if_placed(entry, worker, task.task_id)
-            if entry is not None and not entry.ended.is_set():
-                # The worker keeps the task. It has to be retired before it can
-                # be started there again.
-                entry.ended_on |= {(worker, task.task_id)}
-                self.retire_later(entry, worker, task)
-            else:
-                self.retire_task(worker, task.task_id)
+            # The worker keeps the task. It has to be retired before it can be
+            # started there again.
+            entry.ended_on |= {(worker, task.task_id)}
+            self.retire_later(entry, worker, task)
 
     async def run_retirement(self) -> None:
         """Retire tasks and old answers periodically until cancelled."""
--- a/packages/currantreach-daemon/src/currantreach_daemon/_requests.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_requests.py
@@ -113,8 +113,8 @@
     :ivar workers: worker of each task that may be running, by task id.
     :ivar outputs: output of each finished task, by task id.
     :ivar attempt: number of its last run, 0 if this owner has placed none.
-    :ivar counted_attempt: number of the last failed run that is counted, -1
-        for none.
+    :ivar counted_run: epoch and number of the last failed run that is
+        counted.
     :ivar failure_count: number of failed runs.
     :ivar is_retry_delayed: whether the next run waits, as the last one failed.
     :ivar retry_count: number of delayed retries.
@@ -141,7 +141,7 @@
     workers: dict[str, str] = attrs.field(factory=dict)
     outputs: dict[str, str] = attrs.field(factory=dict)
     attempt: int = 0
-    counted_attempt: int = -1
+    counted_run: tuple[int, int] = (-1, -1)
     failure_count: int = 0
     is_retry_delayed: bool = False
     retry_count: int = 0
@@ -155,14 +155,17 @@
         """Return the id of the request."""
         return self.answer.request_id
 
-    def count_failure(self) -> bool:
-        """Count the failure of the last run; return whether it is new.
+    def count_failure(self, run: tuple[int, int]) -> bool:
+        """Count a failed run; return whether it was not counted yet.
 
-        A run of a gang fails once, however many of its tasks do.
+        A run of a gang fails once, however many of its tasks do, and a run
+        begins only after all tasks of the former one have ended.
+
+        :param run: epoch and number of the run.
         """
-        if self.counted_attempt >= self.attempt:
+        if run <= self.counted_run:
             return False
-        self.counted_attempt = self.attempt
+        self.counted_run = run
         self.failure_count += 1
         return True
 
--- a/packages/currantreach-daemon/src/currantreach_daemon/_task_events.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_task_events.py
@@ -67,6 +67,9 @@
             entry = self._recovery.entry_of(task)
         if entry is not None and task.task_id in entry.outputs:
             return
+        if entry is not None and self._is_of_former_run(entry, task):
+            self._completion.end_former(entry, worker, task)
+            return
         if entry is None or self._is_orphan(entry, worker, task):
             self._completion.end_orphan(entry, worker, task)
             return
@@ -111,6 +114,13 @@
         """Stop the owner, since a worker has accepted a higher epoch."""
         self._state.lost.set()
 
+    def _is_of_former_run(self, entry: RequestEntry, task: WorkerTask) -> bool:
+        """Tell whether a report is about a run before the last one placed."""
+        if not entry.attempt or not task.attempt:
+            return False
+        last_run = self._state.claim.epoch, entry.attempt
+        return (task.epoch, task.attempt) < last_run
+
     def _is_orphan(
         self,
         entry: RequestEntry,
@@ -189,12 +199,13 @@
         task: WorkerTask,
     ) -> bool:
         """Count a failed run once; return whether this task is the first."""
-        is_counted = entry.count_failure()
+        attempt = task.attempt or entry.attempt
+        is_counted = entry.count_failure((task.epoch, attempt))
         self._state.log(
             'task_failed',
             task=task.task_id,
             worker=worker,
-            attempt=task.attempt or entry.attempt,
+            attempt=attempt,
             run_ms=task.run_ms,
             failures=entry.failure_count,
             most=_FAILURE_LIMIT,
--- a/packages/currantreach-daemon/tests/test_gang_retries.py
+++ b/packages/currantreach-daemon/tests/test_gang_retries.py
@@ -287,3 +287,32 @@
         assert cell.start_count(spec.request_id) == 3
 
     simulate(scenario)
+
+
+def test_former_run_that_a_worker_still_has_is_retired(simulate, logged):
+    """A start was refused as known again and again, for a run that had ended.
+
+    Its end had reached the owner while the start was on its way.
+    """
+
+    async def scenario(cell):
+        spec = cell.spec(expected_run_s=30)
+        await cell.submit(spec)
+        await asyncio.sleep(1)
+        worker = cell.workers['w0']
+        name = f'{spec.request_id}/0'
+        kept = worker.tasks[name]
+        worker.end(name, TaskPhase.failed)
+        held = hold(worker, 'start', 'effect')
+        link = cell.owner._state.links['w0']
+        while name not in link._runs.in_flight:
+            await asyncio.sleep(0.01)
+        worker.tasks[name] = kept
+        worker.event_log.append(name)
+        await asyncio.sleep(0.1)
+        held.set()
+        assert await finished(cell, spec)
+        assert cell.start_count(spec.request_id) == 2
+        assert len(logged('task_failed')) == 1
+
+    simulate(scenario, worker_count=1)
