Test that a retry started during a renewal is not taken as lost

With task ids compared as before, the task is started a third time while the retry runs; with runs compared it is not.

--- a/packages/currantreach-daemon/tests/test_gang_retries.py
+++ b/packages/currantreach-daemon/tests/test_gang_retries.py
@@ -227,6 +227,27 @@
     fail_again(hear_of_failure)
 
 
+def test_retry_that_starts_during_a_renewal_is_not_lost(fail_again):
+    """A retry was taken as lost, as its former run was there before.
+
+    The inventory was read after the former run had been deleted, and before the
+    retry was started.
+    """
+
+    async def hear_of_failure(cell, worker, spec):
+        name = f'{spec.request_id}/0'
+        hold(worker, 'renew', 'effect')
+        await asyncio.sleep(LEASE_S / 4)
+        worker.end(name, TaskPhase.failed)
+        while name in worker.tasks:
+            await asyncio.sleep(0.0002)
+        held = hold(worker, 'renew', 'answer')
+        worker.delays['renew', 'effect'].set()
+        return [held]
+
+    fail_again(hear_of_failure)
+
+
 def test_events_older_than_the_retry_count_no_failure(fail_again):
     """A failure heard by a renewal counted again by late events."""
 
