Give large cells of the soak as many ports as they need

The block now grows with the cell. Runs of the usual size get 54 ports instead of 50.

A type of the owners that was written out has its name.

--- a/packages/currantreach-daemon/src/currantreach_daemon/_requests.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_requests.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from currantreach_daemon._link_runs import RunNumber
 from currantreach_decisions import Placement
 from currantreach_types import (
     Answer,
@@ -141,7 +142,7 @@
     workers: dict[str, str] = attrs.field(factory=dict)
     outputs: dict[str, str] = attrs.field(factory=dict)
     attempt: int = 0
-    counted_run: tuple[int, int] = (-1, -1)
+    counted_run: RunNumber = (-1, -1)
     failure_count: int = 0
     is_retry_delayed: bool = False
     retry_count: int = 0
@@ -155,13 +156,11 @@
         """Return the id of the request."""
         return self.answer.request_id
 
-    def count_failure(self, run: tuple[int, int]) -> bool:
+    def count_failure(self, run: RunNumber) -> bool:
         """Count a failed run; return whether it was not counted yet.
 
         A run of a gang fails once, however many of its tasks do, and a run
         begins only after all tasks of the former one have ended.
-
-        :param run: epoch and number of the run.
         """
         if run <= self.counted_run:
             return False
--- a/tests/soak/_cell.py
+++ b/tests/soak/_cell.py
@@ -43,8 +43,9 @@
 # Ports below the ephemeral range, in a separate block for each seed and
 # process: no other process may take the port of a killed daemon.
 _FIRST_PORT = 10000
-_PORT_RANGE_COUNT = 400
-_PORTS_PER_RANGE = 50
+_LAST_PORT = 30000
+# A daemon takes four ports, a worker one; ports in use are skipped.
+_PORTS_PER_PROCESS = 6
 # Leases of 6 s, an election and the waiting jobs end well within this time.
 _COMPLETION_TIMEOUT_S = 40
 
@@ -56,6 +57,14 @@
     daemon_count: int = 3
     worker_count: int = 6
 
+    def first_port(self, number):
+        """Return the first of the ports of a numbered cell of this size."""
+        port_count = _PORTS_PER_PROCESS * (
+            self.daemon_count + self.worker_count
+        )
+        range_count = (_LAST_PORT - _FIRST_PORT) // port_count
+        return _FIRST_PORT + number % range_count * port_count
+
 
 _USUAL_SIZE = CellSize()
 
@@ -127,8 +136,7 @@
         self._tasks = []
         self.max_stall_s = 0
         self._versions = itertools.count(1)
-        number = (os.getpid() * 7 + seed) % _PORT_RANGE_COUNT
-        first_port = _FIRST_PORT + number * _PORTS_PER_RANGE
+        first_port = size.first_port(os.getpid() * 7 + seed)
         self._ports = filter(_is_free, itertools.count(first_port))
 
     async def start(self):
