End the processes of all seeds when the soak is terminated

On SIGTERM the soak left the daemons of its running seed behind (3 of 3 in two tries, and once 40). It waited with gather, which returns as soon as one of the cancelled seeds has ended, here one that was still waiting for its turn. The event loop was then closed and cancelled the running seed a second time, in the middle of ending its processes.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -37,9 +37,12 @@
         sys.stdout.flush()
         return bool(report.violations)
 
-    failures = await asyncio.gather(*map(run_one, seeds))
-    failed = sum(failures)
-    sys.stdout.write(f'{len(failures) - failed} passed, {failed} failed\n')
+    # Unlike gather, a group that is cancelled waits until all seeds have ended
+    # their processes.
+    async with asyncio.TaskGroup() as group:
+        runs = [group.create_task(run_one(seed)) for seed in seeds]
+    failed = sum(run.result() for run in runs)
+    sys.stdout.write(f'{len(runs) - failed} passed, {failed} failed\n')
     return failed
 
 
