--- a/conftest.py
+++ b/conftest.py
@@ -53,6 +53,8 @@
     items: list[pytest.Item],  # noqa: WPS110
 ) -> None:
     """Deselect exactly the tests listed in KNOWN-RED.txt."""
+    if config.getoption('--soak'):
+        _extend_timeouts(items)
     if config.getoption('--known-red'):
         return
     known_failures = _known_failures()
@@ -71,6 +73,15 @@
         terminalreporter.write_line(f'known red, see KNOWN-RED.txt: {name}')
 
 
+def _extend_timeouts(tests: list[pytest.Item]) -> None:
+    """Extend the timeouts of single tests as their examples are extended."""
+    for test in tests:
+        marker = test.get_closest_marker('timeout')
+        if marker is not None and marker.args:
+            timeout_s = marker.args[0] * _SOAK_FACTOR
+            test.add_marker(pytest.mark.timeout(timeout_s), append=False)
+
+
 def _known_failures() -> set[str]:
     if not _KNOWN_RED.exists():
         return set()
