--- a/tests/soak/_cell.py
+++ b/tests/soak/_cell.py
@@ -111,7 +111,7 @@
         self,
         seed,
         directory,
-        size,
+        size=_USUAL_SIZE,
         lease_limit_s=_LEASE_S,
         max_attempts=None,
     ):
