--- a/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
@@ -17,6 +17,7 @@
 )
 from currantreach_jobs._quarantine import QuarantinedJobs
 from currantreach_jobs._records import Placement
+from currantreach_jobs._stage_durations import StageDurations
 from currantreach_jobs._team_rates import TeamRates
 from currantreach_jobs._usage import TeamUsage, WorkerState
 from currantreach_telemetry import log_event
@@ -66,6 +67,7 @@
             service has had in this leadership. A worker that is away for a
             moment counts, as it comes back.
         :ivar memory: estimated memory of the open jobs.
+        :ivar durations: expected durations of tasks and speeds of workers.
         :ivar pending_stops: runs to be stopped, not yet sent to their workers.
         :ivar jobs_loaded: set once all accepted jobs are loaded.
         :ivar count_retry: counts a retry, by its reason.
@@ -83,6 +85,7 @@
         self.team_rates = TeamRates()
         self.pending_stops: list[Run] = []
         self.memory = JobMemory()
+        self.durations = StageDurations()
         self._due_occurrences = DueOccurrences(self.memory)
         self.jobs_loaded = asyncio.Event()
         self._clock = clock
