Schedule urgent stages in the pauses between full rounds

Change: rounds over the urgent stages alone run within the pause, bounded so that all rounds take about a third of the time.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
@@ -381,11 +381,16 @@
             if stage.step.is_gang:
                 self.stop_stage(stage)
 
-    def ready_stages(self) -> Iterator[Stage]:
-        """Yield all stages with tasks that may be started."""
+    def ready_stages(self, is_urgent: bool = False) -> Iterator[Stage]:
+        """Yield the stages with tasks that may be started.
+
+        :param is_urgent: whether to yield those of urgent queues only.
+        """
         unix_ms = unix_now_ms()
         self._due_occurrences.open_due(unix_ms)
         for progress in self.open_jobs.values():
+            if is_urgent and progress.job.queue.priority:
+                continue
             if not progress.is_unwritable:
                 yield from progress.ready_stages(unix_ms)
 
--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -72,6 +72,7 @@
         self._open_workers: dict[str, WorkerState] = {}
         self._priority_boost = PriorityBoost()
         self._boosted_stage: Stage | None = None
+        self._blocked_team = ''
         self._cluster = cluster
         self._advice_dispatcher = advice_dispatcher
         self._clock = clock
@@ -85,11 +86,7 @@
         self._reservable_count = round(
             _RESERVABLE_SHARE * len(self._cluster.workers),
         )
-        self._open_workers = {
-            worker_id: worker
-            for worker_id, worker in self._cluster.workers.items()
-            if worker.is_open(now_s)
-        }
+        self._find_open_workers(now_s)
         stages = sorted(
             self._cluster.ready_stages(),
             key=lambda stage: _urgency_key(stage, now_s),
@@ -101,19 +98,48 @@
             self._open_workers.values(),
             now_s,
         )
-        blocked_team = ''
+        self._blocked_team = ''
         if self._boosted_stage is not None and self._boosted_stage.waiting:
             self._schedule_stage(self._boosted_stage, now_s)
-            blocked_team = self._team_to_block(self._boosted_stage, now_s)
+            self._blocked_team = self._team_to_block(self._boosted_stage, now_s)
         for stage in stages:
-            if stage is self._boosted_stage:
-                continue
-            if blocked_team and stage.job_progress.job.team == blocked_team:
-                stage.wait_reason = WaitReason.TEAM_LIMIT
-            else:
-                self._schedule_stage(stage, now_s)
+            if stage is not self._boosted_stage:
+                self._schedule_unless_blocked(stage, now_s)
         self._metrics.record_decision_round(self._clock.now_s() - now_s)
 
+    def schedule_urgent(self) -> None:
+        """Start the tasks of urgent stages, which come before all others.
+
+        A full round would treat them in the same way, as they precede all
+        other stages but a boosted one, whose reservations hold.
+        """
+        now_s = self._clock.now_s()
+        self._find_open_workers(now_s)
+        stages = [
+            stage
+            for stage in self._cluster.ready_stages(is_urgent=True)
+            if not _is_deferred(stage, now_s)
+            and stage is not self._boosted_stage
+        ]
+        stages.sort(key=lambda stage: _urgency_key(stage, now_s))
+        for urgent in stages:
+            urgent.mark_startable(now_s)
+            self._schedule_unless_blocked(urgent, now_s)
+
+    def _find_open_workers(self, now_s: float) -> None:
+        self._open_workers = {
+            worker_id: worker
+            for worker_id, worker in self._cluster.workers.items()
+            if worker.is_open(now_s)
+        }
+
+    def _schedule_unless_blocked(self, stage: Stage, now_s: float) -> None:
+        blocked_team = self._blocked_team
+        if blocked_team and stage.job_progress.job.team == blocked_team:
+            stage.wait_reason = WaitReason.TEAM_LIMIT
+        else:
+            self._schedule_stage(stage, now_s)
+
     def _schedule_stage(self, stage: Stage, now_s: float) -> None:
         try:
             wait_reason = self._precheck(stage, now_s)
@@ -365,6 +391,12 @@
     )
 
 
+def _is_deferred(stage: Stage, now_s: float) -> bool:
+    """Tell whether a stage waits behind those of other queues."""
+    progress = stage.job_progress
+    return progress.is_past_deadline(now_s) or progress.is_over_share
+
+
 def _is_allowed(stage: Stage, worker: WorkerState) -> bool:
     if stage.job_progress.job.queue.advice is None:
         return True
--- a/packages/currantreach-jobs/src/currantreach_jobs/_job_scheduler.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_job_scheduler.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import functools
 from typing import TYPE_CHECKING
 
 from currantreach_jobs._advice import AdviceDispatcher
@@ -23,6 +22,7 @@
     progress_key,
 )
 from currantreach_jobs._releases import WorkerReleases
+from currantreach_jobs._rounds import SchedulingRounds
 from currantreach_jobs._supervision import failure_of, keep_running
 from currantreach_jobs._wait_monitor import WaitMonitor, count_workers
 from currantreach_jobs._wait_reasons import WaitReason
@@ -50,15 +50,6 @@
 
 __all__ = ('JobScheduler',)
 
-# Least pause between two scheduling rounds, so that a burst of events costs
-# one round.
-_MIN_ROUND_S = 0.01
-# Idle time after a round, as a multiple of its duration. Rounds on a full fleet
-# then take at most a third of the processor time; replies of workers and peers
-# wait while a round runs.
-_IDLE_FACTOR = 2
-# Tickets and pauses expire without an event, so rounds also run on a timer.
-_MAX_ROUND_S = 0.1
 # Nothing is scheduled while records wait longer than this for their write: a
 # start order would wait behind them, and its tickets would expire.
 _MAX_WRITE_LAG_S = 0.6
@@ -110,7 +101,12 @@
         self._store = dependencies.store
         self._settings = settings
         self._clock = clock
-        self._wake = asyncio.Event()
+        self._rounds = SchedulingRounds(
+            clock,
+            self._run_round,
+            self._run_urgent_round,
+            dependencies.metrics.record_retry,
+        )
         self._committer = Committer(
             dependencies.store,
             leadership,
@@ -120,7 +116,7 @@
         self.cluster = ClusterState(
             clock,
             self._committer.mark_dirty,
-            self._wake.set,
+            self._rounds.request,
             dependencies.metrics,
         )
         self._committer.jobs = self.cluster.jobs
@@ -132,7 +128,7 @@
             links,
             advice_service,
             clock,
-            self._wake.set,
+            self._rounds.request,
             dependencies.metrics,
         )
         self._stage_scheduler = StageScheduler(
@@ -159,16 +155,14 @@
         background = [
             self._start_part(
                 'lease',
-                functools.partial(
-                    self._coordinator.maintain_lease, self.leadership
-                ),
+                lambda: self._coordinator.maintain_lease(self.leadership),
             ),
             # Releases of silent workers are written while the jobs are read.
             self._start_part('releases', self._releases.run),
             self._start_part(
                 'first_answers',
-                functools.partial(
-                    _release_unanswered, self._has_opened_fleet, self._sessions
+                lambda: _release_unanswered(
+                    self._has_opened_fleet, self._sessions
                 ),
             ),
         ]
@@ -232,8 +226,9 @@
             'candidates': self._yield_to_better_candidate,
         }
         tasks = [self._start_part(name, run) for name, run in parts.items()]
+        self.is_ready = True
         try:
-            await self._schedule_until_over()
+            await self._rounds.run(lambda: self._is_over())
         finally:
             self.is_ready = False
             await _cancel_all(tasks)
@@ -247,25 +242,6 @@
             keep_running(name, run, self.cluster.count_retry)
         )
 
-    async def _schedule_until_over(self) -> None:
-        self.is_ready = True
-        while not self._is_over():
-            started_at_s = self._clock.now_s()
-            try:
-                self._run_round()
-            except Exception as error:
-                # The leases of the workers are still renewed, and the next
-                # leader would read the same jobs.
-                self.cluster.count_retry('round_failed')
-                log_warning('round_failed', error=repr(error))
-                await asyncio.sleep(_MAX_ROUND_S)
-            elapsed_s = self._clock.now_s() - started_at_s
-            await asyncio.sleep(max(_MIN_ROUND_S, _IDLE_FACTOR * elapsed_s))
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(_MAX_ROUND_S):
-                    await self._wake.wait()
-            self._wake.clear()
-
     def _run_round(self) -> None:
         wait_reason = self._global_wait_reason()
         if wait_reason is None:
@@ -273,6 +249,11 @@
         self.wait_monitor.log_waits(wait_reason)
         self._send_stops()
 
+    def _run_urgent_round(self) -> None:
+        if self._global_wait_reason() is None:
+            self._stage_scheduler.schedule_urgent()
+        self._send_stops()
+
     def _global_wait_reason(self) -> WaitReason | None:
         """Return what prevents the start of any run at present, if anything."""
         if self._dependencies.source.config is None:
