--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := types telemetry http decisions config platform links state jobs daemon cli standins
+PACKAGES := types telemetry http durations decisions config platform links state jobs daemon cli standins
 SOURCES := conftest.py packages platform bench demo proofs testbed tests
 
 .PHONY: setup test check demo proofs bench soak fault-soak format
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -9,7 +9,7 @@
         --target target/deps -c constraints.txt -r deploy/requirements.txt
     touch "$stamp"
 fi
-for name in types telemetry http links platform jobs; do
+for name in types telemetry durations http links platform jobs; do
     rm -rf "target/deps/currantreach_$name"
     cp -R "packages/currantreach-$name/src/currantreach_$name" target/deps/
 done
