Estimate run times of the owners with the duration model

Cause: the estimator averaged run times by team and workload, so a first run replaced the declared time and slow workers counted as long work. Change: it keeps its sizes and asks the duration model for run times; tasks of gangs teach nothing about workers.

--- a/packages/currantreach-decisions/src/currantreach_decisions/_estimates.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_estimates.py
@@ -8,11 +8,12 @@
 import attrs
 
 from currantreach_decisions._ledger import EMPTY
+from currantreach_durations import DurationModel, FinishedRun, Work
 from currantreach_types import Resources
 
 if TYPE_CHECKING:
     from currantreach_decisions._backlogs import WaitingRequest
-    from currantreach_decisions._ledger import Ledger
+    from currantreach_decisions._ledger import Ledger, PlacedTask
     from currantreach_types import TaskSpec
 
 __all__ = ('Estimator', 'TaskSizer')
@@ -22,15 +23,13 @@
 # converges to the 90th percentile: one task in ten uses more.
 _RISE = 1.18
 _FALL = 0.98
-_RUN_TIME_SMOOTHING = 0.1
 
 
 @attrs.define(slots=True, eq=False)
-class _WorkloadEstimate:
-    """Estimates for the tasks of one team and workload."""
+class _SizeEstimate:
+    """Estimated size of the tasks of one team and workload."""
 
     size: Resources = EMPTY
-    run_s: float = 0
 
 
 class Estimator:
@@ -38,10 +37,9 @@
 
     def __init__(self) -> None:
         """Start without estimates."""
-        self._estimates: collections.OrderedDict[
-            tuple[str, str], _WorkloadEstimate
-        ]
+        self._estimates: collections.OrderedDict[tuple[str, str], _SizeEstimate]
         self._estimates = collections.OrderedDict()
+        self._durations = DurationModel()
 
     def size(self, spec: TaskSpec) -> Resources:
         """Return the larger of the declared and the estimated size."""
@@ -51,11 +49,9 @@
         return spec.resources.elementwise_max(estimate.size)
 
     def run_s(self, spec: TaskSpec) -> float:
-        """Return the average run time, or the declared one if unknown."""
-        estimate = self._estimates.get((spec.team, spec.workload))
-        if estimate is None or not estimate.run_s:
-            return spec.expected_run_s
-        return estimate.run_s
+        """Return the mean run time, or the declared one if unknown."""
+        estimate = self._durations.estimate(_work_of(spec), 0)
+        return estimate.mean_s if estimate.run_count else spec.expected_run_s
 
     def learn_size(self, spec: TaskSpec, observed: Resources) -> None:
         """Update the size with the peak usage of a task that ended."""
@@ -69,19 +65,28 @@
             _track_quantile(estimate.size.memory_mib, observed.memory_mib),
         )
 
-    def learn_run(self, spec: TaskSpec, run_s: float) -> None:
-        """Update the average with the run time of a finished task."""
-        estimate = self._estimate(spec)
-        if not estimate.run_s:
-            estimate.run_s = run_s
-        estimate.run_s += _RUN_TIME_SMOOTHING * (run_s - estimate.run_s)
+    def learn_run(self, task: PlacedTask, now_s: float) -> None:
+        """Learn from the run time of a finished task.
 
-    def _estimate(self, spec: TaskSpec) -> _WorkloadEstimate:
+        The tasks of a gang end together, so they tell nothing about the speed
+        of their workers.
+        """
+        is_gang = task.spec.gang_size > 1
+        self._durations.learn(
+            FinishedRun(
+                work=_work_of(task.spec),
+                worker_id='' if is_gang else task.worker,
+                run_s=now_s - task.started_at_s,
+                ended_at_s=now_s,
+            ),
+        )
+
+    def _estimate(self, spec: TaskSpec) -> _SizeEstimate:
         """Return the estimate for a request, which may be new."""
         key = (spec.team, spec.workload)
         estimate = self._estimates.get(key)
         if estimate is None:
-            estimate = _WorkloadEstimate()
+            estimate = _SizeEstimate()
             self._estimates[key] = estimate
             if len(self._estimates) > _ESTIMATE_LIMIT:
                 self._estimates.popitem(last=False)
@@ -111,6 +116,15 @@
         return spec.resources
 
 
+def _work_of(spec: TaskSpec) -> Work:
+    """Return what is known of a task; jobs of one workload are alike."""
+    return Work(
+        queue=spec.workload,
+        team=spec.team,
+        declared_s=spec.expected_run_s,
+    )
+
+
 def _track_quantile(estimate: int, observed: int) -> int:
     """Move an estimate towards the 90th percentile of the observations."""
     if observed > estimate:
--- a/packages/currantreach-decisions/src/currantreach_decisions/_indexed.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_indexed.py
@@ -178,7 +178,7 @@
         if task.spec.policy is PolicyKind.prompt:
             self._reserve.running -= 1
         if end is TaskEnd.finished:
-            self._estimator.learn_run(task.spec, now_s - task.started_at_s)
+            self._estimator.learn_run(task, now_s)
         if task.observed is not EMPTY:
             self._estimator.learn_size(task.spec, task.observed)
         self._update_health(task, end, now_s)
