Size calls to the placement service by their expected total time

Calls of 0.6 s listed 4 to 8 workers for gangs of 2 to 9 tasks, with a quarter of the workers allowed, and were repeated three or four times. The former rule listed 1.6 times the average need, whatever a repeated call cost, and assumed that half of the workers are allowed until a queue had answers.

The number of listed workers now minimises the expected time of the call and of a repeated one, with the distribution of the allowed capacity.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_advice.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_advice.py
@@ -6,6 +6,7 @@
 import collections
 from typing import TYPE_CHECKING
 
+from currantreach_jobs._advice_planning import prior_of
 from currantreach_jobs._messages import AdviceReply, AdviceRequest
 from currantreach_jobs._supervision import failure_of
 from currantreach_telemetry import log_event
@@ -16,7 +17,7 @@
     from currantreach_jobs._clients import AdviceClient
     from currantreach_jobs._coordinator import Coordinator
     from currantreach_jobs._links import Links
-    from currantreach_jobs._model import AdviceConfig
+    from currantreach_jobs._model import AdviceConfig, Queue
     from currantreach_jobs._progress import Stage
     from currantreach_telemetry import Metrics
     from currantreach_types import Clock
@@ -38,10 +39,6 @@
 # A daemon whose call failed is used again after this time; a network partition
 # lasts for seconds.
 _AVOID_S = 3
-# Prior for a queue without answers: half of the workers are allowed, with the
-# weight of one call that queries this many workers.
-_PRIOR_ALLOWED_FRACTION = 0.5
-_PRIOR_QUERIED = 20
 # Part of a ticket's validity that may pass before it reaches the worker.
 _TICKET_SLACK_S = 0.15
 
@@ -139,13 +136,11 @@
         call.add_done_callback(self._on_call_end)
         return True
 
-    def allowed_fraction(self, queue_name: str) -> float:
+    def allowed_fraction(self, queue: Queue) -> float:
         """Return the fraction of workers that a queue was allowed so far."""
-        allowed = (
-            self._allowed_count[queue_name]
-            + _PRIOR_ALLOWED_FRACTION * _PRIOR_QUERIED
-        )
-        return allowed / (self._queried_count[queue_name] + _PRIOR_QUERIED)
+        prior_fraction, prior_count = prior_of(queue.advice)
+        allowed = self._allowed_count[queue.name] + prior_fraction * prior_count
+        return allowed / (self._queried_count[queue.name] + prior_count)
 
     async def close(self) -> None:
         """Cancel all calls in flight."""
--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -299,7 +299,7 @@
         if not should_query and stage is not self._boosted_stage:
             return WaitReason.NO_ROOM
         allowed_fraction = self._advice_dispatcher.allowed_fraction(
-            stage.job_progress.job.queue.name
+            stage.job_progress.job.queue
         )
         queried: list[WorkerState] = []
         if should_query:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import itertools
+import math
 from typing import TYPE_CHECKING
 
+from currantreach_jobs._advice_planning import MAX_QUERIED, planned_count
 from currantreach_jobs._usage import fitting_count_within
 
 if TYPE_CHECKING:
@@ -22,12 +25,6 @@
     'workers_to_query',
 )
 
-# The placement service accepts at most this many workers in one call.
-_MAX_QUERIED = 100
-# The number of allowed workers varies between calls: with a quarter of the
-# workers allowed, querying 1.6 times the average need still leaves one call in
-# twelve without enough capacity.
-_QUERY_MARGIN = 1.6
 # Other tasks may take part of the free capacity while a call is in flight.
 _RACE_MARGIN = 1.25
 
@@ -130,9 +127,10 @@
 ) -> list[WorkerState]:
     """Return the workers to query in a call to the placement service.
 
-    Each queried worker makes the call longer, so only as many are queried as
-    the waiting tasks are expected to need. Workers whose tickets stay valid
-    count towards the need, but are not queried again.
+    Each queried worker makes the call longer, and a call that finds too few
+    allowed workers is repeated; the number of queried workers follows from
+    both. Workers whose tickets stay valid count towards the need, but are not
+    queried again.
 
     :param workers: workers that are not known to be forbidden, best first.
     :param allowed_fraction: expected fraction of allowed workers among those
@@ -141,23 +139,17 @@
     :param min_count: number of workers to have tickets for, whether or not
         they have free capacity.
     """
-    missing: float = len(stage.waiting)
+    ordered = _in_query_order(stage, workers)
+    needed = _needed_workers(stage, ordered, allowed_fraction)
     queried: list[WorkerState] = []
-    for worker in _in_query_order(stage, workers):
-        if missing <= 0 and min_count <= 0:
-            break
-        count = fitting_count(stage, worker)
-        if not count and min_count <= 0:
+    for candidate in ordered:
+        worker_id = candidate.report.worker_id
+        if worker_id not in needed and min_count <= 0:
             continue
         min_count -= 1
-        worker_id = worker.report.worker_id
-        if stage.allowed.get(worker_id, False):
-            missing -= count / _RACE_MARGIN
-        else:
-            missing -= count * allowed_fraction / _QUERY_MARGIN
         if not stage.has_ticket(worker_id, ticket_until_s):
-            queried.append(worker)
-    return queried[:_MAX_QUERIED]
+            queried.append(candidate)
+    return queried[:MAX_QUERIED]
 
 
 def workers_to_probe(
@@ -179,18 +171,63 @@
     for worker in workers:
         if stage.allowed.get(worker.report.worker_id, False):
             missing -= max_fitting_count(stage, worker)
-        else:
+        elif max_fitting_count(stage, worker):
             unknown.append(worker)
     unknown.sort(key=lambda worker: worker.free.cpu_milli, reverse=True)
-    queried: list[WorkerState] = []
-    for candidate in unknown:
-        if missing <= 0:
+    fitting = [max_fitting_count(stage, worker) for worker in unknown]
+    count = _unknown_count(stage, fitting, allowed_fraction, missing)
+    return unknown[:count]
+
+
+def _needed_workers(
+    stage: Stage,
+    ordered: Iterable[WorkerState],
+    allowed_fraction: float,
+) -> set[str]:
+    """Return the workers that the waiting tasks are expected to need.
+
+    :param ordered: workers in query order, those without capacity last.
+    """
+    missing: float = len(stage.waiting)
+    needed: set[str] = set()
+    unknown: dict[str, int] = {}
+    for worker in ordered:
+        worker_id = worker.report.worker_id
+        count = fitting_count(stage, worker)
+        if not count:
             break
-        count = max_fitting_count(stage, candidate)
-        if count:
-            queried.append(candidate)
-            missing -= count * allowed_fraction / _QUERY_MARGIN
-    return queried[:_MAX_QUERIED]
+        if worker_id not in stage.allowed:
+            unknown[worker_id] = count
+        elif missing > 0:
+            missing -= count / _RACE_MARGIN
+            needed.add(worker_id)
+    unknown_count = _unknown_count(
+        stage, tuple(unknown.values()), allowed_fraction, missing
+    )
+    needed.update(itertools.islice(unknown, unknown_count))
+    return needed
+
+
+def _unknown_count(
+    stage: Stage,
+    fitting_counts: Sequence[int],
+    allowed_fraction: float,
+    missing: float,
+) -> int:
+    """Return how many workers with an unknown answer to query.
+
+    :param fitting_counts: how many tasks fit on each of them.
+    :param missing: number of tasks for which no worker is known yet.
+    """
+    advice = stage.job_progress.job.queue.advice
+    if advice is None or missing <= 0:
+        return 0
+    return planned_count(
+        advice,
+        allowed_fraction,
+        fitting_counts,
+        math.ceil(missing),
+    )
 
 
 def _in_query_order(
