Place tasks by the speeds of workers and the time left

Cause: on a deployment with workers of three speeds, half of the prompt jobs were late because they ran on slow workers, while work with slack ran on fast ones. Change: _worker_ranking.py groups workers into speed levels of a factor of 1.3 by their learned slowdowns. A stage takes the slowest level on which the tail of its duration and the rest of its path meet the objective, then the others, fastest first; within a level the best fit decides as before. A gang uses one level alone if it can, and no faster workers beside slow ones than it needs. Calls to the placement service list workers of a gang in that order. Result: with equal workers the order is as before (property test).

--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -19,6 +19,7 @@
 )
 from currantreach_jobs._priority_boost import PriorityBoost
 from currantreach_jobs._wait_reasons import WaitReason
+from currantreach_jobs._worker_ranking import WorkerSpeeds, measure_speeds
 from currantreach_telemetry import log_event, log_warning
 
 if TYPE_CHECKING:
@@ -29,6 +30,7 @@
     from currantreach_jobs._model import AdviceConfig, SiteConfig, Team
     from currantreach_jobs._progress import Run, Stage
     from currantreach_jobs._usage import WorkerState
+    from currantreach_jobs._worker_ranking import SpeedOrder
     from currantreach_telemetry import Metrics
     from currantreach_types import Clock
 
@@ -72,6 +74,7 @@
         self._open_workers: dict[str, WorkerState] = {}
         self._priority_boost = PriorityBoost()
         self._boosted_stage: Stage | None = None
+        self._speeds = WorkerSpeeds()
         self._cluster = cluster
         self._advice_dispatcher = advice_dispatcher
         self._clock = clock
@@ -90,6 +93,10 @@
             for worker_id, worker in self._cluster.workers.items()
             if worker.is_open(now_s)
         }
+        if now_s >= self._speeds.valid_until_s:
+            self._speeds = measure_speeds(
+                self._cluster.workers, self._cluster.durations, now_s
+            )
         stages = sorted(
             self._cluster.ready_stages(),
             key=lambda stage: _urgency_key(stage, now_s),
@@ -173,8 +180,11 @@
         if advice is not None:
             candidates = self._workers_with_tickets(stage, now_s)
         is_boosted = stage is self._boosted_stage
-        candidates = eligible_workers(stage, candidates, now_s, is_boosted)
-        assigned = assign(stage, candidates, max_count)
+        speed_order = self._speed_order(stage, now_s)
+        candidates = eligible_workers(
+            stage, candidates, now_s, is_boosted, speed_order
+        )
+        assigned = assign(stage, candidates, max_count, speed_order)
         self._start(stage, assigned)
         if assigned:
             is_limited = len(assigned) >= max_count
@@ -193,6 +203,7 @@
             self._open_workers.values(),
             now_s,
             stage is self._boosted_stage,
+            self._speed_order(stage, now_s),
         )
         if now_s < stage.advice_deadline_s:
             wait_reason = WaitReason.ADVICE_PENDING
@@ -245,6 +256,9 @@
         if is_boosted:
             self._priority_boost.record_reservation(now_s)
 
+    def _speed_order(self, stage: Stage, now_s: float) -> SpeedOrder | None:
+        return self._speeds.order_for(stage, self._cluster.durations, now_s)
+
     def _team_of(self, stage: Stage) -> Team | None:
         config = self._read_config()
         return config.teams.get(stage.job_progress.job.team) if config else None
@@ -309,6 +323,7 @@
                 allowed_fraction,
                 now_s + advice.fixed_s + _CALL_MARGIN_S,
                 min_count,
+                self._speed_order(stage, now_s),
             )
         if not queried and stage is self._boosted_stage:
             queried = workers_to_probe(
--- a/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
@@ -11,6 +11,7 @@
 
     from currantreach_jobs._progress import Stage
     from currantreach_jobs._usage import WorkerState
+    from currantreach_jobs._worker_ranking import SpeedOrder
 
 __all__ = (
     'assign',
@@ -37,14 +38,16 @@
     workers: Iterable[WorkerState],
     now_s: float,
     is_boosted: bool = False,
+    speed_order: SpeedOrder | None = None,
 ) -> list[WorkerState]:
     """Return the workers that may run tasks of a stage, best first.
 
     :param workers: workers on which anything may be started.
     :param is_boosted: whether capacity reserved for other stages may be used.
+    :param speed_order: order of the speeds of workers, if they differ.
 
-    Workers with less free processor time come first (best fit), so that
-    emptier ones stay available for large tasks and gangs.
+    Among equally fast workers, those with less free processor time come first
+    (best fit), so that emptier ones stay available for large tasks and gangs.
     """
     fitting = [
         worker
@@ -52,12 +55,14 @@
         if _is_eligible(stage, worker, now_s, is_boosted)
     ]
     rack = stage.step.data_rack
-    fitting.sort(
-        key=lambda worker: (
-            bool(rack) and rack not in worker.report.labels,
-            worker.free.cpu_milli,
-        ),
-    )
+    # The sort is stable: the last key takes precedence over the earlier ones.
+    fitting.sort(key=lambda worker: worker.free.cpu_milli)
+    if speed_order is not None:
+        fitting.sort(
+            key=lambda worker: speed_order.rank(worker.report.worker_id),
+        )
+    if rack:
+        fitting.sort(key=lambda worker: rack not in worker.report.labels)
     return fitting
 
 
@@ -98,15 +103,19 @@
     stage: Stage,
     workers: Sequence[WorkerState],
     max_count: int,
+    speed_order: SpeedOrder | None = None,
 ) -> list[tuple[int, WorkerState]]:
     """Assign waiting tasks to workers.
 
     :param workers: eligible workers, best first.
     :param max_count: number of tasks that the limit of the team allows.
+    :param speed_order: order of the speeds of workers, if they differ.
     :returns: pairs of a task's index and its worker; empty for a gang whose
         tasks do not all fit.
     """
-    if stage.step.is_rack_local:
+    if stage.step.is_gang and speed_order is not None:
+        workers = _gang_workers(stage, workers, speed_order)
+    elif stage.step.is_rack_local:
         workers = _single_rack_first(stage, workers)
     indices = sorted(stage.waiting)[:max_count]
     assigned: list[tuple[int, WorkerState]] = []
@@ -127,6 +136,7 @@
     allowed_fraction: float,
     ticket_until_s: float,
     min_count: int = 0,
+    speed_order: SpeedOrder | None = None,
 ) -> list[WorkerState]:
     """Return the workers to query in a call to the placement service.
 
@@ -140,10 +150,11 @@
     :param ticket_until_s: time until which a ticket has to be valid.
     :param min_count: number of workers to have tickets for, whether or not
         they have free capacity.
+    :param speed_order: order of the speeds of workers, if they differ.
     """
     missing: float = len(stage.waiting)
     queried: list[WorkerState] = []
-    for worker in _in_query_order(stage, workers):
+    for worker in _in_query_order(stage, workers, speed_order):
         if missing <= 0 and min_count <= 0:
             break
         count = fitting_count(stage, worker)
@@ -196,22 +207,33 @@
 def _in_query_order(
     stage: Stage,
     workers: Sequence[WorkerState],
+    speed_order: SpeedOrder | None,
 ) -> list[WorkerState]:
     """Return workers with capacity first, and queried ones first among them.
 
-    For a gang, the workers that fit most of its tasks come first.
+    For a gang, the workers that fit most of its tasks come first among those
+    of similar speed.
     """
     return sorted(
         workers,
-        key=lambda worker: _query_rank(stage, worker),
+        key=lambda worker: _query_rank(stage, worker, speed_order),
     )
 
 
-def _query_rank(stage: Stage, worker: WorkerState) -> tuple[bool, bool, int]:
+def _query_rank(
+    stage: Stage,
+    worker: WorkerState,
+    speed_order: SpeedOrder | None,
+) -> tuple[bool, bool, int, int]:
     count = fitting_count(stage, worker)
+    worker_id = worker.report.worker_id
+    speed_rank = 0
+    if stage.step.is_gang and speed_order is not None:
+        speed_rank = speed_order.rank(worker_id)
     return (
         not count,
-        worker.report.worker_id not in stage.allowed,
+        worker_id not in stage.allowed,
+        speed_rank,
         -count if stage.step.is_gang else 0,
     )
 
@@ -230,11 +252,51 @@
     return not worker.has_colocation_conflict(stage.step)
 
 
+def _gang_workers(
+    stage: Stage,
+    workers: Sequence[WorkerState],
+    speed_order: SpeedOrder,
+) -> Sequence[WorkerState]:
+    """Return workers of similar speed that fit a gang, if there are any."""
+    task_count = stage.step.task_count
+    for candidates in (_near_workers(stage, workers), workers):
+        fitting = [
+            (worker, fitting_count(stage, worker)) for worker in candidates
+        ]
+        if sum(count for _, count in fitting) >= task_count:
+            return speed_order.gang_members(fitting, task_count)
+    return ()
+
+
+def _near_workers(
+    stage: Stage,
+    workers: Sequence[WorkerState],
+) -> Sequence[WorkerState]:
+    """Return the workers near each other or near the data, if that matters."""
+    if stage.step.is_rack_local:
+        return _single_rack(stage, workers)
+    rack = stage.step.data_rack
+    if not rack:
+        return ()
+    return [worker for worker in workers if rack in worker.report.labels]
+
+
 def _single_rack_first(
     stage: Stage,
     workers: Sequence[WorkerState],
 ) -> Sequence[WorkerState]:
     """Put the workers of a rack that fits all tasks first, if there is one."""
+    rack = _single_rack(stage, workers)
+    if not rack:
+        return workers
+    return [*rack, *(worker for worker in workers if worker not in rack)]
+
+
+def _single_rack(
+    stage: Stage,
+    workers: Sequence[WorkerState],
+) -> Sequence[WorkerState]:
+    """Return the workers of a rack that fits all tasks, if there is one."""
     labels = {label for worker in workers for label in worker.report.labels}
     for label in sorted(labels):
         rack = [worker for worker in workers if label in worker.report.labels]
@@ -242,8 +304,5 @@
             continue
         count = sum(fitting_count(stage, worker) for worker in rack)
         if count >= len(stage.waiting):
-            return [
-                *rack,
-                *(worker for worker in workers if worker not in rack),
-            ]
-    return workers
+            return rack
+    return ()
--- /dev/null
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_ranking.py
@@ -0,0 +1,194 @@
+"""Order of workers of different speeds for the tasks of a stage."""
+
+from __future__ import annotations
+
+import collections
+import math
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from currantreach_jobs._progress import Stage
+    from currantreach_jobs._stage_durations import StageDurations
+    from currantreach_jobs._usage import WorkerState
+
+__all__ = ('SpeedOrder', 'WorkerSpeeds', 'measure_speeds')
+
+# Learned slowdowns of equally fast workers scatter by a tenth or so. Slowdowns
+# from 0.88 to 1.14 are of the level of usual workers; each further level is
+# slower by this factor. The speeds 0.6, 1.0 and 1.6 of a deployment are near
+# the middles of levels 2, 0 and -2.
+_LEVEL_FACTOR = 1.3
+_MAX_LEVEL = 12
+# Learned speeds change with each finished run, but little within this time.
+_SPEEDS_AGE_S = 0.25
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class SpeedOrder:
+    """Order in which a stage takes the speed levels of workers.
+
+    :ivar level_by_worker: speed levels by worker; others have level 0.
+    :ivar on_time: levels on which the job meets its objective, slowest first.
+    :ivar late: levels on which it does not, fastest first.
+    """
+
+    level_by_worker: Mapping[str, int]
+    on_time: tuple[int, ...]
+    late: tuple[int, ...]
+    _rank_by_level: Mapping[int, int] = attrs.field(
+        default=attrs.Factory(
+            lambda order: {
+                level: rank
+                for rank, level in enumerate((*order.on_time, *order.late))
+            },
+            takes_self=True,
+        ),
+    )
+
+    def rank(self, worker_id: str) -> int:
+        """Return the position of the level of a worker, 0 for the best."""
+        return self._rank_by_level[self.level_by_worker.get(worker_id, 0)]
+
+    def gang_members(
+        self,
+        fitting: Sequence[tuple[WorkerState, int]],
+        task_count: int,
+    ) -> list[WorkerState]:
+        """Return workers for a gang, preferably of similar speed.
+
+        A gang is as fast as its slowest member, so faster workers beside a slow
+        one are of no use to it.
+
+        :param fitting: workers, best first, and how many tasks fit on each.
+        """
+        counts: collections.Counter[int] = collections.Counter()
+        for candidate, count in fitting:
+            counts[self._level_of(candidate)] += count
+        levels = self._gang_levels(counts, task_count)
+        members = [
+            worker for worker, _ in fitting if self._level_of(worker) in levels
+        ]
+        members.sort(key=lambda member: levels.index(self._level_of(member)))
+        return members
+
+    def _level_of(self, worker: WorkerState) -> int:
+        return self.level_by_worker.get(worker.report.worker_id, 0)
+
+    def _gang_levels(
+        self,
+        counts: collections.Counter[int],
+        task_count: int,
+    ) -> Sequence[int]:
+        """Return the levels to use for a gang, the slowest one first."""
+        for level in self.on_time:
+            if counts[level] >= task_count:
+                return (level,)
+        chosen = list(self.on_time)
+        total = sum(counts[level] for level in chosen)
+        for late_level in self.late:
+            if total >= task_count:
+                break
+            count = counts[late_level]
+            if count >= task_count:
+                return (late_level,)
+            chosen.insert(0, late_level)
+            total += count
+        return chosen
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class WorkerSpeeds:
+    """Speeds of the workers, grouped so that their noise does not matter.
+
+    :ivar level_by_worker: speed levels by worker, 0 for the usual speed.
+    :ivar slowdown_by_level: mean slowdown of the workers of a level; slower
+        levels come first.
+    :ivar is_uniform: whether all workers are of one level.
+    :ivar valid_until_s: when the speeds have to be measured again.
+    """
+
+    level_by_worker: Mapping[str, int] = attrs.field(factory=dict)
+    slowdown_by_level: Mapping[int, float] = attrs.field(factory=dict)
+    is_uniform: bool = True
+    valid_until_s: float = 0
+
+    def order_for(
+        self,
+        stage: Stage,
+        durations: StageDurations,
+        now_s: float,
+    ) -> SpeedOrder | None:
+        """Return the order of levels for a stage that starts now.
+
+        :returns: nothing if all workers are equally fast for the stage, or if
+            it never ends by itself.
+        """
+        if self.is_uniform or stage.step.is_lasting:
+            return None
+        limit = _max_slowdown(stage, durations, now_s)
+        on_time: list[int] = []
+        late: list[int] = []
+        for level, slowdown in self.slowdown_by_level.items():
+            if slowdown <= limit:
+                on_time.append(level)
+            else:
+                late.insert(0, level)
+        return SpeedOrder(
+            level_by_worker=self.level_by_worker,
+            on_time=tuple(on_time),
+            late=tuple(late),
+        )
+
+
+def measure_speeds(
+    worker_ids: Iterable[str],
+    durations: StageDurations,
+    now_s: float,
+) -> WorkerSpeeds:
+    """Return the speeds of workers by their learned slowdowns."""
+    level_by_worker: dict[str, int] = {}
+    slowdowns: dict[int, list[float]] = collections.defaultdict(list)
+    for worker_id in worker_ids:
+        slowdown = durations.slowdown(worker_id)
+        if not math.isfinite(slowdown) or slowdown <= 0:
+            slowdown = 1
+        level = _level_of(slowdown)
+        level_by_worker[worker_id] = level
+        slowdowns[level].append(slowdown)
+    is_uniform = len(slowdowns) < 2
+    # Workers that join before the next measurement have the usual level.
+    slowdowns[0] = slowdowns[0] or [1]
+    return WorkerSpeeds(
+        level_by_worker=level_by_worker,
+        is_uniform=is_uniform,
+        slowdown_by_level={
+            level: sum(slowdowns[level]) / len(slowdowns[level])
+            for level in sorted(slowdowns, reverse=True)
+        },
+        valid_until_s=now_s + _SPEEDS_AGE_S,
+    )
+
+
+def _level_of(slowdown: float) -> int:
+    level = round(math.log(slowdown) / math.log(_LEVEL_FACTOR))
+    return max(-_MAX_LEVEL, min(_MAX_LEVEL, level))
+
+
+def _max_slowdown(
+    stage: Stage,
+    durations: StageDurations,
+    now_s: float,
+) -> float:
+    """Return the slowdown up to which a start now meets the objective."""
+    task = durations.task(stage)
+    due_s = stage.latest_start_s() + stage.remaining_s
+    rest_s = stage.remaining_s - stage.step.estimate_s
+    available_s = due_s - rest_s - now_s
+    if task.tail_s > 0:
+        return available_s / task.tail_s
+    return math.inf if available_s >= 0 else 0
--- a/packages/currantreach-jobs/tests/conftest.py
+++ b/packages/currantreach-jobs/tests/conftest.py
@@ -40,6 +40,7 @@
 from currantreach_jobs._job_scheduler import JobScheduler
 from currantreach_jobs._key_writer import KeyWriter
 from currantreach_jobs._records import decode_job
+from currantreach_jobs._stage_durations import StageDurations, TaskDuration
 from currantreach_jobs._submissions import (
     SubmissionService,
     build_forward_reply,
@@ -843,6 +844,28 @@
             daemon.kill()
 
 
+class FakeDurations(StageDurations):
+    """Learned durations of a test.
+
+    ``slowdowns`` has those of workers, and ``lengths_s`` the mean and the tail
+    of the duration of a task by the name of its queue.
+    """
+
+    def __init__(self):
+        self.slowdowns = {}
+        self.lengths_s = {}
+
+    def task(self, stage):
+        learned = self.lengths_s.get(stage.job_progress.job.queue.name)
+        if learned is None:
+            return super().task(stage)
+        mean_s, tail_s = learned
+        return TaskDuration(mean_s=mean_s, tail_s=tail_s, run_count=20)
+
+    def slowdown(self, worker_id):
+        return self.slowdowns.get(worker_id, 1)
+
+
 class OfflineScheduler:
     """Cluster state and stage scheduler without a network."""
 
@@ -1012,3 +1035,10 @@
 def offline(make_offline):
     """Return an offline scheduler with two workers of 16 cores."""
     return make_offline()
+
+
+@pytest.fixture
+def durations(offline):
+    """Return learned durations that the offline scheduler uses."""
+    offline.cluster.durations = FakeDurations()
+    return offline.cluster.durations
