Learn durations and speeds from the ends that the leader hears

Cause: the leader knew declared estimates only, and no speed of any worker. Change: StageDurations holds a duration model. An end teaches it if this leader ordered the run without a checkpoint, its start was confirmed, its worker answers and no distance between racks slowed it; a gang teaches one duration. Placement and order do not use it yet.

--- a/packages/currantreach-durations/src/currantreach_durations/_lengths.py
+++ b/packages/currantreach-durations/src/currantreach_durations/_lengths.py
@@ -51,9 +51,9 @@
 _UNCLIPPED_SIBLINGS = 3
 # With less than this spread of 0.05 any deviation would count as a change.
 _MIN_VARIANCE = 0.0025
-# A part of the spread is always that of the steps, so that siblings count even
-# if the spread between them was estimated too high.
-_LEAST_STEP_SHARE = 0.25
+# A part of the spread is always that of the steps, so that two siblings weigh
+# more than the corrected estimate even before the spread of siblings is known.
+_MOST_NOISE_SHARE = 0.6
 # Largest variance that the mean of an estimate allows for (a factor of e).
 _MAX_VARIANCE = 2
 # Keys of unusual length would exceed the memory that the limits stand for.
@@ -94,8 +94,13 @@
     @property
     def step_variance(self) -> float:
         """Return the variance of the lengths of steps."""
+        return max(_MIN_VARIANCE, self.total_variance.mean) - self.run_variance
+
+    @property
+    def run_variance(self) -> float:
+        """Return the variance of runs about the length of their step."""
         total = max(_MIN_VARIANCE, self.total_variance.mean)
-        return max(total - self.noise_variance.mean, total * _LEAST_STEP_SHARE)
+        return min(self.noise_variance.mean, total * _MOST_NOISE_SHARE)
 
     def clip(self, deviation_log: float) -> float:
         """Bound the deviation of a first run of a step."""
@@ -181,7 +186,7 @@
         if queue is None:
             return Prediction(base_log, _STEP_VARIANCE, USUAL_VARIANCE, 0, 0, 0)
         step = self.steps.get(work.step_id) if work.step_id else None
-        noise_variance = max(_MIN_VARIANCE, queue.noise_variance.mean)
+        noise_variance = max(_MIN_VARIANCE, queue.run_variance)
         run_count = queue.run_count
         if step is None:
             return Prediction(
--- a/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
@@ -85,7 +85,7 @@
         self.team_rates = TeamRates()
         self.pending_stops: list[Run] = []
         self.memory = JobMemory()
-        self.durations = StageDurations()
+        self.durations = StageDurations(metrics)
         self._due_occurrences = DueOccurrences(self.memory)
         self.jobs_loaded = asyncio.Event()
         self._clock = clock
@@ -162,6 +162,7 @@
         self.mark_worker_lost(worker_id)
         drop_tickets(self.open_jobs.values(), worker_id)
         self.workers.pop(worker_id, None)
+        self.durations.forget_worker(worker_id)
 
     def mark_worker_lost(
         self,
@@ -203,6 +204,7 @@
             phase=RunPhase.STARTING,
             stage=stage,
             created_at_s=self._clock.now_s(),
+            is_whole=not task.checkpoint,
         )
         task.run = run
         self._allocate(run)
@@ -292,6 +294,7 @@
         run = self.create_run(stage, found.task.index, worker_id, found.attempt)
         task.checkpoint = found.checkpoint or task.checkpoint
         run.is_listed = is_listed
+        run.is_whole = False
         if is_listed:
             stage.job_progress.has_started = True
         run.mark_running(self._clock.now_s())
@@ -513,6 +516,8 @@
         """Free the run that has ended; return its stage, if it is known."""
         run = self.run_of(ended.task, ended.attempt, worker_id)
         if run is not None:
+            if ended.kind is EndKind.DONE:
+                self.durations.learn_end(run, self.workers, self._clock.now_s())
             self._deallocate(run)
             return run.stage
         stage = self.stage_of(ended.task)
--- a/packages/currantreach-jobs/src/currantreach_jobs/_daemon.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_daemon.py
@@ -131,6 +131,15 @@
             ),
             'kind',
         )
+        dependencies.metrics.add_gauge(
+            'currantreach_learned_durations',
+            lambda: (
+                self.scheduler.cluster.durations.key_counts()
+                if self.scheduler
+                else {}
+            ),
+            'kind',
+        )
         dependencies.metrics.add_gauge(
             'currantreach_workers',
             lambda: self.scheduler.worker_counts() if self.scheduler else {},
--- a/packages/currantreach-jobs/src/currantreach_jobs/_job_scheduler.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_job_scheduler.py
@@ -267,6 +267,7 @@
             self._wake.clear()
 
     def _run_round(self) -> None:
+        self.cluster.durations.refresh(self._clock.now_s())
         wait_reason = self._global_wait_reason()
         if wait_reason is None:
             self._stage_scheduler.schedule()
--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -66,6 +66,7 @@
     :ivar confirmed_at_s: when the worker confirmed the start or stop, 0 before.
         From then on the worker lists the run until it has ended.
     :ivar is_listed: whether the worker has listed the run to this leader.
+    :ivar is_whole: whether this leader ordered it, without a checkpoint.
     """
 
     task: TaskKey
@@ -76,6 +77,7 @@
     created_at_s: float
     confirmed_at_s: float = 0
     is_listed: bool = False
+    is_whole: bool = False
     ticket: str = ''
 
     def mark_running(self, now_s: float) -> None:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -516,6 +516,9 @@
     ) -> None:
         if answer is StartAnswer.FENCED:
             self._handle_refused_token(order.fencing_token)
+        if order.checkpoint:
+            # A late end may have had it after the run was created.
+            run.is_whole = False
         if answer is StartAnswer.STARTED:
             self._cluster.confirm_start(run)
         elif is_outcome_unknown:
--- a/packages/currantreach-telemetry/src/currantreach_telemetry/_metrics.py
+++ b/packages/currantreach-telemetry/src/currantreach_telemetry/_metrics.py
@@ -25,6 +25,8 @@
 # The scheduler waits 7 to 17 s for a lost worker.
 _SILENCE_BUCKETS_S = (2, 5, 7, 8, 10, 12, 15, 20, 30, 60)
 _DECISION_BUCKETS_S = (0.0001, 0.0005, 0.001, 0.002, 0.005, 0.02, 0.1)
+# Noise alone makes runs differ by a quarter, and a slow worker by 5 to 8 times.
+_RATIO_BUCKETS = (0.2, 0.4, 0.6, 0.8, 1, 1.25, 1.7, 2.5, 5, 10)
 
 
 class Metrics:
@@ -48,6 +50,7 @@
                     'currantreach_decision_seconds',
                     _DECISION_BUCKETS_S,
                 ),
+                _histogram_view('currantreach_duration_ratio', _RATIO_BUCKETS),
             ],
             shutdown_on_exit=False,
         )
@@ -65,6 +68,9 @@
         self._decisions = self._meter.create_histogram(
             'currantreach_decision_seconds',
         )
+        self._duration_ratios = self._meter.create_histogram(
+            'currantreach_duration_ratio',
+        )
 
     def record_refusal(self, reason: str) -> None:
         """Count a rejected request."""
@@ -98,6 +104,12 @@
         """Record the duration of a scheduling round."""
         self._decisions.record(duration_s)
 
+    def record_duration_ratio(self, queue: str, ratio: float) -> None:
+        """Record the duration of a run divided by its estimate."""
+        self._duration_ratios.record(
+            ratio, {'queue': self._workload_label(queue)}
+        )
+
     def add_gauge(
         self,
         name: str,
