--- a/packages/currantreach-jobs/src/currantreach_jobs/_job_scheduler.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_job_scheduler.py
@@ -243,6 +243,7 @@
         )
 
     def _run_round(self) -> None:
+        self.cluster.durations.refresh(self._clock.now_s())
         wait_reason = self._global_wait_reason()
         if wait_reason is None:
             self._stage_scheduler.schedule()
