Order stages by learned durations and by what can still be on time

Change: _job_paths.py updates the expected task durations, the remaining paths and the objective of waiting jobs with learned durations, at most 20 jobs a round. The objective follows because it is a multiple of the critical path; a job with too low an estimate would be late from the start otherwise. _urgency.py has the order of stages: a late prompt job waits for other work that has to start within 8 s to be on time, but not for work with more slack. An error in the learned durations is logged, and the former times stay in force. Result: without finished runs, all times are as before; the order differs only for late prompt jobs.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -9,6 +9,7 @@
 
 from typing import TYPE_CHECKING
 
+from currantreach_jobs._job_paths import update_paths
 from currantreach_jobs._placement import (
     assign,
     eligible_workers,
@@ -18,6 +19,7 @@
     workers_to_query,
 )
 from currantreach_jobs._priority_boost import PriorityBoost
+from currantreach_jobs._urgency import urgency_key
 from currantreach_jobs._wait_reasons import WaitReason
 from currantreach_jobs._worker_ranking import WorkerSpeeds, measure_speeds
 from currantreach_telemetry import log_event, log_warning
@@ -97,9 +99,10 @@
             self._speeds = measure_speeds(
                 self._cluster.workers, self._cluster.durations, now_s
             )
+        ready_stages = list(self._cluster.ready_stages())
+        update_paths(ready_stages, self._cluster.durations, now_s)
         stages = sorted(
-            self._cluster.ready_stages(),
-            key=lambda stage: _urgency_key(stage, now_s),
+            ready_stages, key=lambda stage: urgency_key(stage, now_s)
         )
         for pending in stages:
             pending.mark_startable(now_s)
@@ -257,7 +260,7 @@
             self._priority_boost.record_reservation(now_s)
 
     def _speed_order(self, stage: Stage, now_s: float) -> SpeedOrder | None:
-        return self._speeds.order_for(stage, self._cluster.durations, now_s)
+        return self._speeds.order_for(stage, now_s)
 
     def _team_of(self, stage: Stage) -> Team | None:
         config = self._read_config()
@@ -358,28 +361,6 @@
     return round(_URGENT_CALL_GROWTH * advice.fixed_s / advice.per_worker_s)
 
 
-def _urgency_key(
-    stage: Stage,
-    now_s: float,
-) -> tuple[bool, bool, bool, bool, float]:
-    """Return a sort key of stages; the most urgent one comes first.
-
-    Among jobs of one priority those that can still meet their objective come
-    before those that are late and of little use to their callers. With an
-    order by the earliest due time alone, one late job after another would
-    delay all others.
-    """
-    progress = stage.job_progress
-    latest_start_s = stage.latest_start_s()
-    return (
-        progress.is_past_deadline(now_s),
-        progress.is_over_share,
-        progress.job.queue.priority > 0,
-        now_s > latest_start_s,
-        latest_start_s,
-    )
-
-
 def _is_allowed(stage: Stage, worker: WorkerState) -> bool:
     if stage.job_progress.job.queue.advice is None:
         return True
--- a/packages/currantreach-jobs/src/currantreach_jobs/_model.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_model.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 import attrs
 
@@ -250,32 +250,46 @@
     first_run_unix_ms: int = 0
     interval_ms: int = 0
 
-    def critical_path_s(self) -> float:
-        """Return the estimated duration of the critical path."""
-        lengths: list[float] = []
-        for step in self.steps:
-            before = max((lengths[early] for early in step.after), default=0)
-            lengths.append(before + step.estimate_s)
-        return max(lengths, default=0)
-
-    def remaining_path_s(self) -> list[float]:
-        """Return for each step the critical path from its start to the end."""
-        remaining: list[float] = [step.estimate_s for step in self.steps]
+    def critical_path_s(self, lengths_s: Sequence[float] = ()) -> float:
+        """Return the expected duration of the critical path.
+
+        :param lengths_s: duration of each step, instead of the estimates.
+        """
+        step_lengths_s = lengths_s or self._estimates_s()
+        ends: list[float] = []
+        for step, length_s in zip(self.steps, step_lengths_s, strict=True):
+            before = max((ends[early] for early in step.after), default=0)
+            ends.append(before + length_s)
+        return max(ends, default=0)
+
+    def remaining_path_s(self, lengths_s: Sequence[float] = ()) -> list[float]:
+        """Return for each step the critical path from its start to the end.
+
+        :param lengths_s: duration of each step, instead of the estimates.
+        """
+        step_lengths_s = lengths_s or self._estimates_s()
+        remaining = list(step_lengths_s)
         for number in reversed(range(len(self.steps))):
             for early in self.steps[number].after:
                 remaining[early] = max(
                     remaining[early],
-                    self.steps[early].estimate_s + remaining[number],
+                    step_lengths_s[early] + remaining[number],
                 )
         return remaining
 
-    def objective_s(self) -> float:
-        """Return the time in which the job should be complete."""
+    def objective_s(self, lengths_s: Sequence[float] = ()) -> float:
+        """Return the time in which the job should be complete.
+
+        :param lengths_s: duration of each step, instead of the estimates.
+        """
         return (
-            self.queue.stretch_factor * self.critical_path_s()
+            self.queue.stretch_factor * self.critical_path_s(lengths_s)
             + self.queue.target_s
         )
 
+    def _estimates_s(self) -> list[float]:
+        return [step.estimate_s for step in self.steps]
+
 
 @attrs.frozen(slots=True, cache_hash=True)
 class TaskKey:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -109,7 +109,9 @@
     """State of one step of one occurrence of a job.
 
     :ivar demand: resources that each task uses on a worker.
-    :ivar remaining_s: estimated time from the start of the stage until the
+    :ivar mean_s: expected duration of a task on a usual worker.
+    :ivar tail_s: duration on a usual worker that one task in ten exceeds.
+    :ivar remaining_s: expected time from the start of the stage until the
         job is complete.
     :ivar waiting: indices of the tasks that have no run and are not done.
     :ivar inherited: placements by an earlier leader on workers whose runs are
@@ -143,6 +145,18 @@
             takes_self=True,
         ),
     )
+    mean_s: float = attrs.field(
+        default=attrs.Factory(
+            lambda stage: stage.step.estimate_s,
+            takes_self=True,
+        ),
+    )
+    tail_s: float = attrs.field(
+        default=attrs.Factory(
+            lambda stage: stage.step.estimate_s,
+            takes_self=True,
+        ),
+    )
     remaining_s: float = 0
     done_count: int = 0
     inherited: dict[int, Placement] = attrs.field(factory=dict)
@@ -335,7 +349,9 @@
     :ivar is_start_durable: whether this is in the store.
     :ivar is_over_share: whether the job exceeds the share of its team.
     :ivar objective_s: time from the acceptance in which callers want the job
-        to be complete, by the estimates of its steps.
+        to be complete, by the expected durations of its steps.
+    :ivar path_valid_until_s: when this and the expected times of the stages
+        have to be updated with learned durations, 0 before the first time.
     :ivar stages: stages of the open occurrences, by occurrence and number of
         the step. An occurrence is opened when it is due, as a leader could not
         hold the stages of all future occurrences of all jobs.
@@ -354,6 +370,7 @@
     is_start_durable: bool = False
     is_over_share: bool = False
     objective_s: float = 0
+    path_valid_until_s: float = 0
     stages: dict[tuple[int, int], Stage] = attrs.field(factory=dict)
     done_occurrences: set[int] = attrs.field(factory=set)
     # No occurrence below this number has to be opened any more.
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_ranking.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_ranking.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from currantreach_telemetry import log_warning
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
@@ -120,7 +122,6 @@
     def order_for(
         self,
         stage: Stage,
-        durations: StageDurations,
         now_s: float,
     ) -> SpeedOrder | None:
         """Return the order of levels for a stage that starts now.
@@ -130,7 +131,7 @@
         """
         if self.is_uniform or stage.step.is_lasting:
             return None
-        limit = _max_slowdown(stage, durations, now_s)
+        limit = _max_slowdown(stage, now_s)
         on_time: list[int] = []
         late: list[int] = []
         for level, slowdown in self.slowdown_by_level.items():
@@ -154,9 +155,7 @@
     level_by_worker: dict[str, int] = {}
     slowdowns: dict[int, list[float]] = collections.defaultdict(list)
     for worker_id in worker_ids:
-        slowdown = durations.slowdown(worker_id)
-        if not math.isfinite(slowdown) or slowdown <= 0:
-            slowdown = 1
+        slowdown = _slowdown_of(worker_id, durations)
         level = _level_of(slowdown)
         level_by_worker[worker_id] = level
         slowdowns[level].append(slowdown)
@@ -174,21 +173,26 @@
     )
 
 
+def _slowdown_of(worker_id: str, durations: StageDurations) -> float:
+    try:
+        slowdown = durations.slowdown(worker_id)
+    except Exception as error:
+        log_warning('speed_unknown', worker=worker_id, error=repr(error))
+        return 1
+    is_plausible = math.isfinite(slowdown) and slowdown > 0
+    return slowdown if is_plausible else 1
+
+
 def _level_of(slowdown: float) -> int:
     level = round(math.log(slowdown) / math.log(_LEVEL_FACTOR))
     return max(-_MAX_LEVEL, min(_MAX_LEVEL, level))
 
 
-def _max_slowdown(
-    stage: Stage,
-    durations: StageDurations,
-    now_s: float,
-) -> float:
+def _max_slowdown(stage: Stage, now_s: float) -> float:
     """Return the slowdown up to which a start now meets the objective."""
-    task = durations.task(stage)
     due_s = stage.latest_start_s() + stage.remaining_s
-    rest_s = stage.remaining_s - stage.step.estimate_s
+    rest_s = stage.remaining_s - stage.mean_s
     available_s = due_s - rest_s - now_s
-    if task.tail_s > 0:
-        return available_s / task.tail_s
+    if stage.tail_s > 0:
+        return available_s / stage.tail_s
     return math.inf if available_s >= 0 else 0
--- a/packages/currantreach-jobs/tests/test_worker_ranking.py
+++ b/packages/currantreach-jobs/tests/test_worker_ranking.py
@@ -169,9 +169,7 @@
     progress.open_next()
     stage = progress.stages[0, 0]
     ids = [worker.report.worker_id for worker in workers]
-    order = measure_speeds(ids, durations, late_s).order_for(
-        stage, durations, late_s
-    )
+    order = measure_speeds(ids, durations, late_s).order_for(stage, late_s)
     former = _former_order(stage, workers)
     ranked = eligible_workers(stage, workers, late_s, speed_order=order)
     assert ranked == former
@@ -356,7 +354,7 @@
     stage = fleet.cluster.jobs['gang'].stages[0, 0]
     now_s = fleet.clock.now_s()
     speeds = measure_speeds(fleet.cluster.workers, durations, now_s)
-    order = speeds.order_for(stage, durations, now_s)
+    order = speeds.order_for(stage, now_s)
     workers = eligible_workers(
         stage, fleet.cluster.workers.values(), now_s, speed_order=order
     )
