--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -9,6 +9,7 @@
 
 from typing import TYPE_CHECKING
 
+from currantreach_jobs._job_paths import update_paths
 from currantreach_jobs._placement import (
     assign,
     eligible_workers,
@@ -18,6 +19,7 @@
     workers_to_query,
 )
 from currantreach_jobs._priority_boost import PriorityBoost
+from currantreach_jobs._urgency import is_first, urgency_key
 from currantreach_jobs._wait_reasons import WaitReason
 from currantreach_jobs._worker_ranking import WorkerSpeeds, measure_speeds
 from currantreach_telemetry import log_event, log_warning
@@ -90,9 +92,10 @@
             _RESERVABLE_SHARE * len(self._cluster.workers),
         )
         self._find_open_workers(now_s)
+        ready_stages = list(self._cluster.ready_stages())
+        update_paths(ready_stages, self._cluster.durations, now_s)
         stages = sorted(
-            self._cluster.ready_stages(),
-            key=lambda stage: _urgency_key(stage, now_s),
+            ready_stages, key=lambda stage: urgency_key(stage, now_s)
         )
         for pending in stages:
             pending.mark_startable(now_s)
@@ -121,10 +124,9 @@
         stages = [
             stage
             for stage in self._cluster.ready_stages(is_urgent=True)
-            if not _is_deferred(stage, now_s)
-            and stage is not self._boosted_stage
+            if is_first(stage, now_s) and stage is not self._boosted_stage
         ]
-        stages.sort(key=lambda stage: _urgency_key(stage, now_s))
+        stages.sort(key=lambda stage: urgency_key(stage, now_s))
         for urgent in stages:
             urgent.mark_startable(now_s)
             self._schedule_unless_blocked(urgent, now_s)
@@ -283,7 +285,7 @@
             self._priority_boost.record_reservation(now_s)
 
     def _speed_order(self, stage: Stage, now_s: float) -> SpeedOrder | None:
-        return self._speeds.order_for(stage, self._cluster.durations, now_s)
+        return self._speeds.order_for(stage, now_s)
 
     def _team_of(self, stage: Stage) -> Team | None:
         config = self._read_config()
@@ -384,34 +386,6 @@
     return round(_URGENT_CALL_GROWTH * advice.fixed_s / advice.per_worker_s)
 
 
-def _urgency_key(
-    stage: Stage,
-    now_s: float,
-) -> tuple[bool, bool, bool, bool, float]:
-    """Return a sort key of stages; the most urgent one comes first.
-
-    Among jobs of one priority those that can still meet their objective come
-    before those that are late and of little use to their callers. With an
-    order by the earliest due time alone, one late job after another would
-    delay all others.
-    """
-    progress = stage.job_progress
-    latest_start_s = stage.latest_start_s()
-    return (
-        progress.is_past_deadline(now_s),
-        progress.is_over_share,
-        progress.job.queue.priority > 0,
-        now_s > latest_start_s,
-        latest_start_s,
-    )
-
-
-def _is_deferred(stage: Stage, now_s: float) -> bool:
-    """Tell whether a stage waits behind those of other queues."""
-    progress = stage.job_progress
-    return progress.is_past_deadline(now_s) or progress.is_over_share
-
-
 def _is_allowed(stage: Stage, worker: WorkerState) -> bool:
     if stage.job_progress.job.queue.advice is None:
         return True
--- a/packages/currantreach-jobs/tests/test_worker_ranking.py
+++ b/packages/currantreach-jobs/tests/test_worker_ranking.py
@@ -11,7 +11,7 @@
 import pytest
 from hypothesis import HealthCheck, given, settings, strategies
 
-from currantreach_jobs import Queue, WorkerReport
+from currantreach_jobs import AdviceConfig, Queue, WorkerReport
 from currantreach_jobs._placement import (
     assign,
     eligible_workers,
@@ -40,6 +40,10 @@
 HEAVY = attrs.evolve(
     PROMPT, name='heavy', priority=1, stretch_factor=2.2, target_s=1
 )
+ADVISED = attrs.evolve(
+    HEAVY,
+    advice=AdviceConfig(fixed_s=0.6, per_worker_s=0.005, ticket_s=1.5),
+)
 WIDE = attrs.evolve(
     PROMPT, name='wide', priority=2, stretch_factor=4, target_s=3
 )
@@ -169,9 +173,7 @@
     progress.open_next()
     stage = progress.stages[0, 0]
     ids = [worker.report.worker_id for worker in workers]
-    order = measure_speeds(ids, durations, late_s).order_for(
-        stage, durations, late_s
-    )
+    order = measure_speeds(ids, durations, late_s).order_for(stage, late_s)
     former = _former_order(stage, workers)
     ranked = eligible_workers(stage, workers, late_s, speed_order=order)
     assert ranked == former
@@ -351,12 +353,12 @@
     """A call for a gang lists the workers that placement would take first."""
     fleet.cluster.workers['f1'].free = ROOM + ROOM
     fleet.cluster.add_job(
-        job('gang', 4, queue=HEAVY, needed=QUARTER, estimate_s=4, is_gang=True)
+        job('gang', 4, queue=ADVISED, needed=QUARTER, estimate_s=4, is_gang=True)
     )
     stage = fleet.cluster.jobs['gang'].stages[0, 0]
     now_s = fleet.clock.now_s()
     speeds = measure_speeds(fleet.cluster.workers, durations, now_s)
-    order = speeds.order_for(stage, durations, now_s)
+    order = speeds.order_for(stage, now_s)
     workers = eligible_workers(
         stage, fleet.cluster.workers.values(), now_s, speed_order=order
     )
