Ask for tickets in time for the expected capacity

A gang whose allowed workers were full let its tickets expire and asked again once they had free capacity, which stayed unused during a call of 0.6 s. The second step of a job asked only after the first one was done.

The scheduler now forecasts from the expected ends of runs when a gang has enough capacity on workers that are known to be allowed, and renews its tickets 0.3 s before that time. It searches other free workers only while that time is further away than a call takes. A step whose earlier steps are running is asked for so that the answer arrives 0.3 s before their expected end. Both kinds of calls are made only while three daemons of their class are idle, and neither makes a stage startable. Gangs reserve the workers of their forecast; without estimates the emptiest ones, as before. advice_given shows the purpose and the number of the call.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_advice.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_advice.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import enum
 from typing import TYPE_CHECKING
 
 from currantreach_jobs._advice_planning import prior_of
@@ -22,7 +23,7 @@
     from currantreach_telemetry import Metrics
     from currantreach_types import Clock
 
-__all__ = ('AdviceDispatcher', 'AdviceService')
+__all__ = ('AdviceDispatcher', 'AdvicePurpose', 'AdviceService')
 
 # A call this long would delay a short call queued behind it by more than the
 # objective of an urgent job.
@@ -41,6 +42,23 @@
 _AVOID_S = 3
 # Part of a ticket's validity that may pass before it reaches the worker.
 _TICKET_SLACK_S = 0.15
+# Calls that are not urgent are made only while this many daemons are idle, so
+# that the call of a stage that can start always finds one.
+_MIN_SPARE = 3
+
+
+class AdvicePurpose(enum.StrEnum):
+    """What an advice call is made for.
+
+    :cvar START: tickets for capacity that is free, or that is needed at once.
+    :cvar RENEWAL: tickets for capacity that is about to become free on workers
+        that are known to be allowed.
+    :cvar AHEAD: verdicts for a step whose earlier steps are running.
+    """
+
+    START = 'start'
+    RENEWAL = 'renewal'
+    AHEAD = 'ahead'
 
 
 class AdviceService:
@@ -108,6 +126,7 @@
         stage: Stage,
         advice: AdviceConfig,
         worker_ids: Sequence[str],
+        purpose: AdvicePurpose = AdvicePurpose.START,
     ) -> bool:
         """Ask for tickets in the background.
 
@@ -131,7 +150,10 @@
             worker_ids=tuple(worker_ids),
             timeout_s=timeout_s,
         )
-        call = asyncio.create_task(self._call(stage, advice, member, request))
+        stage.advice_call_count += 1
+        call = asyncio.create_task(
+            self._call(stage, advice, member, request, purpose),
+        )
         self._calls[call] = request, member
         call.add_done_callback(self._on_call_end)
         return True
@@ -142,6 +164,17 @@
         allowed = self._allowed_count[queue.name] + prior_fraction * prior_count
         return allowed / (self._queried_count[queue.name] + prior_count)
 
+    def has_spare_member(self, advice: AdviceConfig) -> bool:
+        """Tell whether enough daemons are idle for a call that can wait."""
+        now_s = self._clock.now_s()
+        idle_count = sum(
+            1
+            for member in self._members_for(advice.fixed_s, now_s)
+            if now_s >= self._busy_until_s[member]
+            and not self._in_flight[member]
+        )
+        return idle_count >= _MIN_SPARE
+
     async def close(self) -> None:
         """Cancel all calls in flight."""
         self._is_closed = True
@@ -152,6 +185,16 @@
 
     def _choose_member(self, duration_s: float, now_s: float) -> str:
         """Return the daemon through which a call is answered first."""
+        return min(
+            self._members_for(duration_s, now_s),
+            key=lambda name: max(
+                now_s + self._round_trip_s(name),
+                self._busy_until_s[name],
+            ),
+        )
+
+    def _members_for(self, duration_s: float, now_s: float) -> Sequence[str]:
+        """Return the daemons that send calls of a duration."""
         # The nearer half sends the short calls, for which latency matters
         # most.
         members = sorted(
@@ -160,16 +203,8 @@
         )
         middle = (len(members) + 1) // 2
         if duration_s >= _LONG_CALL_S:
-            members = members[len(members) - middle :]
-        else:
-            members = members[:middle]
-        return min(
-            members,
-            key=lambda name: max(
-                now_s + self._round_trip_s(name),
-                self._busy_until_s[name],
-            ),
-        )
+            return members[len(members) - middle :]
+        return members[:middle]
 
     def _responsive_members(self, now_s: float) -> Collection[str]:
         """Return the daemons without a recent failure, or all if none is left.
@@ -200,7 +235,9 @@
         advice: AdviceConfig,
         member: str,
         request: AdviceRequest,
+        purpose: AdvicePurpose,
     ) -> None:
+        call_number = stage.advice_call_count
         asked_at_s = self._clock.now_s()
         is_answered = False
         try:
@@ -210,6 +247,8 @@
                 job=request.job_id,
                 step=request.step,
                 member=member,
+                purpose=purpose,
+                call=call_number,
                 named=len(request.worker_ids),
                 allowed=len(reply.tickets),
                 after_s=round(self._clock.now_s() - asked_at_s, 3),
--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -9,15 +9,15 @@
 
 from typing import TYPE_CHECKING
 
+from currantreach_jobs._capacity_forecast import ForecastCalculator
+from currantreach_jobs._lookahead import AdviceLookahead
 from currantreach_jobs._placement import (
     assign,
     eligible_workers,
-    fitting_count,
-    max_fitting_count,
-    workers_to_probe,
-    workers_to_query,
 )
 from currantreach_jobs._priority_boost import PriorityBoost
+from currantreach_jobs._reservations import Reservations
+from currantreach_jobs._stage_advice import StageAdvice, min_start_count
 from currantreach_jobs._wait_reasons import WaitReason
 from currantreach_telemetry import log_event, log_warning
 
@@ -26,7 +26,7 @@
 
     from currantreach_jobs._advice import AdviceDispatcher
     from currantreach_jobs._cluster_state import ClusterState
-    from currantreach_jobs._model import AdviceConfig, SiteConfig, Team
+    from currantreach_jobs._model import SiteConfig, Team
     from currantreach_jobs._progress import Run, Stage
     from currantreach_jobs._usage import WorkerState
     from currantreach_telemetry import Metrics
@@ -34,20 +34,9 @@
 
 __all__ = ('StageScheduler',)
 
-# At most this share of the workers is reserved for waiting gangs.
-_RESERVABLE_SHARE = 0.5
-# Each scheduling round renews the reservations; the interval between rounds is
-# shorter than this.
-_RESERVATION_S = 0.3
-# Fraction of ``AdviceConfig.fixed_s`` by which an urgent call may be longer, to
-# query more workers; some milliseconds for the queues in use.
-_URGENT_CALL_GROWTH = 0.7
 # A stage that found no capacity searches all workers this often, to ask for
 # advice or to reserve capacity; its tickets are tried in each round.
 _SEARCH_INTERVAL_S = 0.05
-# A ticket that stays valid for less than this after an advice call would
-# expire before the start it is used for.
-_CALL_MARGIN_S = 0.3
 # Pause of a stage that cannot be scheduled because of an error.
 _FAILED_STAGE_PAUSE_S = 1
 
@@ -68,12 +57,16 @@
 
         :param launch: starts a run with its ticket.
         """
-        self._reservable_count = 0
         self._open_workers: dict[str, WorkerState] = {}
         self._priority_boost = PriorityBoost()
         self._boosted_stage: Stage | None = None
         self._cluster = cluster
-        self._advice_dispatcher = advice_dispatcher
+        self._stage_advice = StageAdvice(advice_dispatcher)
+        forecasts = ForecastCalculator(cluster)
+        self._reservations = Reservations(forecasts)
+        self._lookahead = AdviceLookahead(
+            cluster, self._stage_advice, forecasts
+        )
         self._clock = clock
         self._launch = launch
         self._read_config = read_config
@@ -82,9 +75,7 @@
     def schedule(self) -> None:
         """Run one scheduling round: start all tasks that can start now."""
         now_s = self._clock.now_s()
-        self._reservable_count = round(
-            _RESERVABLE_SHARE * len(self._cluster.workers),
-        )
+        self._reservations.begin_round(len(self._cluster.workers))
         self._open_workers = {
             worker_id: worker
             for worker_id, worker in self._cluster.workers.items()
@@ -112,6 +103,7 @@
                 stage.wait_reason = WaitReason.TEAM_LIMIT
             else:
                 self._schedule_stage(stage, now_s)
+        self._lookahead.ask_ahead(tuple(self._open_workers.values()), now_s)
         self._metrics.record_decision_round(self._clock.now_s() - now_s)
 
     def _schedule_stage(self, stage: Stage, now_s: float) -> None:
@@ -151,7 +143,7 @@
         team = self._team_of(stage)
         if self._cluster.teams.max_task_count(
             team, stage.step
-        ) < _min_start_count(stage):
+        ) < min_start_count(stage):
             return ''
         self._priority_boost.record_reservation(now_s)
         return stage.job_progress.job.team
@@ -194,12 +186,24 @@
             now_s,
             stage is self._boosted_stage,
         )
+        is_boosted = stage is self._boosted_stage
+        forecast = None
+        if stage.step.is_gang or is_boosted:
+            forecast = self._reservations.forecast(
+                stage, workers, now_s, is_boosted
+            )
         if now_s < stage.advice_deadline_s:
             wait_reason = WaitReason.ADVICE_PENDING
         elif advice is not None:
-            wait_reason = self._ask(stage, advice, workers, now_s)
+            wait_reason = self._stage_advice.ask(
+                stage, workers, forecast, now_s, is_boosted
+            )
         if stage.step.is_gang or stage is self._boosted_stage:
-            self._reserve(stage, workers, now_s)
+            is_reserved = self._reservations.reserve(
+                stage, workers, forecast, now_s, is_boosted
+            )
+            if is_reserved and is_boosted:
+                self._priority_boost.record_reservation(now_s)
         return wait_reason
 
     def _workers_with_tickets(
@@ -213,38 +217,6 @@
             if now_s < valid_until_s and worker_id in self._open_workers
         ]
 
-    def _reserve(
-        self,
-        stage: Stage,
-        workers: Sequence[WorkerState],
-        now_s: float,
-    ) -> None:
-        """Reserve capacity that becomes free for a waiting stage.
-
-        Otherwise smaller tasks take all capacity as soon as it becomes free,
-        and a large gang never starts on a full fleet.
-        """
-        is_boosted = stage is self._boosted_stage
-        if stage.job_progress.is_past_deadline(now_s) and not is_boosted:
-            return
-        max_count = len(workers) if is_boosted else self._reservable_count
-        missing_count = _min_start_count(stage)
-        reserved_workers: list[WorkerState] = []
-        for worker in sorted(workers, key=_free_cpu, reverse=True):
-            if missing_count <= 0 or len(reserved_workers) >= max_count:
-                break
-            if max_fitting_count(stage, worker) and _is_allowed(stage, worker):
-                reserved_workers.append(worker)
-                missing_count -= max_fitting_count(stage, worker)
-        if missing_count > 0:
-            return
-        self._reservable_count -= len(reserved_workers)
-        for reserved_worker in reserved_workers:
-            reserved_worker.reserved_by = stage
-            reserved_worker.reserved_until_s = now_s + _RESERVATION_S
-        if is_boosted:
-            self._priority_boost.record_reservation(now_s)
-
     def _team_of(self, stage: Stage) -> Team | None:
         config = self._read_config()
         return config.teams.get(stage.job_progress.job.team) if config else None
@@ -279,69 +251,6 @@
             waited_s=round(waited_s, 3),
         )
 
-    def _ask(
-        self,
-        stage: Stage,
-        advice: AdviceConfig,
-        workers: Sequence[WorkerState],
-        now_s: float,
-    ) -> WaitReason:
-        """Ask for tickets of workers that are not known to be forbidden."""
-        candidates = [
-            worker
-            for worker in workers
-            if stage.allowed.get(worker.report.worker_id, True)
-        ]
-        min_count = _min_queried_count(stage, advice)
-        needed_count = _min_start_count(stage)
-        fitting = sum(fitting_count(stage, worker) for worker in candidates)
-        should_query = fitting >= needed_count or min_count
-        if not should_query and stage is not self._boosted_stage:
-            return WaitReason.NO_ROOM
-        allowed_fraction = self._advice_dispatcher.allowed_fraction(
-            stage.job_progress.job.queue
-        )
-        queried: list[WorkerState] = []
-        if should_query:
-            queried = workers_to_query(
-                stage,
-                candidates,
-                allowed_fraction,
-                now_s + advice.fixed_s + _CALL_MARGIN_S,
-                min_count,
-            )
-        if not queried and stage is self._boosted_stage:
-            queried = workers_to_probe(
-                stage, candidates, allowed_fraction, needed_count
-            )
-        if not queried:
-            return WaitReason.NO_ROOM
-        is_asked = self._advice_dispatcher.ask(
-            stage,
-            advice,
-            [worker.report.worker_id for worker in queried],
-        )
-        if is_asked:
-            return WaitReason.ADVICE_PENDING
-        return WaitReason.NO_ADVISER_FREE
-
-
-def _min_start_count(stage: Stage) -> int:
-    """Return how many tasks of a stage have to start together."""
-    return stage.step.task_count if stage.step.is_gang else 1
-
-
-def _min_queried_count(stage: Stage, advice: AdviceConfig) -> int:
-    """Return for how many workers a stage should have tickets in advance.
-
-    On a full fleet an urgent task needs its ticket before capacity becomes
-    free, as tasks that have tickets take the capacity while its call is in
-    flight.
-    """
-    if stage.job_progress.job.queue.priority or not advice.per_worker_s:
-        return 0
-    return round(_URGENT_CALL_GROWTH * advice.fixed_s / advice.per_worker_s)
-
 
 def _urgency_key(
     stage: Stage,
@@ -363,13 +272,3 @@
         now_s > latest_start_s,
         latest_start_s,
     )
-
-
-def _is_allowed(stage: Stage, worker: WorkerState) -> bool:
-    if stage.job_progress.job.queue.advice is None:
-        return True
-    return stage.allowed.get(worker.report.worker_id, False)
-
-
-def _free_cpu(worker: WorkerState) -> int:
-    return worker.free.cpu_milli
--- a/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
@@ -189,6 +189,7 @@
     :param ordered: workers in query order, those without capacity last.
     """
     missing: float = len(stage.waiting)
+    known_count = 0
     needed: set[str] = set()
     unknown: dict[str, int] = {}
     for worker in ordered:
@@ -200,7 +201,11 @@
             unknown[worker_id] = count
         elif missing > 0:
             missing -= count / _RACE_MARGIN
+            known_count += count
             needed.add(worker_id)
+    if known_count >= len(stage.waiting):
+        # The margin is not worth more verdicts.
+        return needed
     unknown_count = _unknown_count(
         stage, tuple(unknown.values()), allowed_fraction, missing
     )
--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -121,6 +121,9 @@
     :ivar next_search_at_s: earliest time of the next search of all workers.
     :ivar advice_deadline_s: when the advice call in flight times out, 0 for
         none.
+    :ivar advice_call_count: advice calls made so far.
+    :ivar expected_start_s: when enough capacity is expected on workers that are
+        known to be allowed, 0 if it is not known.
     :ivar retry_at_s: end of the pause after a start that had no effect.
     :ivar wait_began_s: when the stage became startable, a worker confirmed its
         last start or its last run ended, whichever is latest; 0 before it is
@@ -150,6 +153,8 @@
     allowed: dict[str, bool] = attrs.field(factory=dict)
     tickets: dict[str, tuple[str, float]] = attrs.field(factory=dict)
     advice_deadline_s: float = 0
+    advice_call_count: int = 0
+    expected_start_s: float = 0
     retry_at_s: float = 0
     next_search_at_s: float = 0
     wait_began_s: float = 0
