--- a/packages/currantreach-jobs/tests/test_worker_ranking.py
+++ b/packages/currantreach-jobs/tests/test_worker_ranking.py
@@ -353,7 +353,9 @@
     """A call for a gang lists the workers that placement would take first."""
     fleet.cluster.workers['f1'].free = ROOM + ROOM
     fleet.cluster.add_job(
-        job('gang', 4, queue=ADVISED, needed=QUARTER, estimate_s=4, is_gang=True)
+        job(
+            'gang', 4, queue=ADVISED, needed=QUARTER, estimate_s=4, is_gang=True
+        )
     )
     stage = fleet.cluster.jobs['gang'].stages[0, 0]
     now_s = fleet.clock.now_s()
