--- a/packages/currantreach-jobs/src/currantreach_jobs/_job_scheduler.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_job_scheduler.py
@@ -7,10 +7,11 @@
 import functools
 from typing import TYPE_CHECKING
 
-from currantreach_jobs._advice import AdviceDispatcher
+from currantreach_jobs._advice import AdviceDispatcher, AdviceService
 from currantreach_jobs._cluster_state import ClusterState
 from currantreach_jobs._committer import Committer
 from currantreach_jobs._decider import StageScheduler
+from currantreach_jobs._duration_recorder import DurationRecorder
 from currantreach_jobs._job_watcher import JobWatcher, read_jobs, read_progress
 from currantreach_jobs._load import Load, measure_load
 from currantreach_jobs._records import (
@@ -39,7 +40,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine, Mapping, Sequence
 
-    from currantreach_jobs._advice import AdviceService
     from currantreach_jobs._clients import DaemonDependencies
     from currantreach_jobs._coordinator import Coordinator
     from currantreach_jobs._links import Links
@@ -150,6 +150,9 @@
         self._releases = WorkerReleases(
             dependencies.store, leadership, clock, coordinator.releases
         )
+        self._duration_recorder = DurationRecorder(
+            dependencies.store, leadership, clock, self.cluster
+        )
         self._fleet_revision = 0
         self._stored_fleet: frozenset[str] = frozenset()
         self._has_opened_fleet = asyncio.Event()
@@ -165,6 +168,7 @@
             ),
             # Releases of silent workers are written while the jobs are read.
             self._start_part('releases', self._releases.run),
+            self._start_part('durations', self._duration_recorder.run),
             self._start_part(
                 'first_answers',
                 functools.partial(
--- a/packages/currantreach-jobs/src/currantreach_jobs/_records.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_records.py
@@ -20,6 +20,7 @@
 
 __all__ = (
     'CELL_PREFIX',
+    'DURATIONS_KEY',
     'EPOCH_KEY',
     'FLEET_KEY',
     'JOB_PREFIX',
@@ -53,6 +54,7 @@
 # times down.
 RELEASES_KEY: Final = 'cell/released'
 FLEET_KEY: Final = 'keep/fleet'
+DURATIONS_KEY: Final = 'keep/durations'
 SECRET_KEY: Final = 'keep/secret'
 JOB_PREFIX: Final = 'jobs/'
 PROGRESS_PREFIX: Final = 'progress/'
