Remember the lasting speed of a worker with few runs

Change: the age applies to the slowdown that is returned; what was learned is kept for a minute, but not after a sudden change.

--- a/packages/currantreach-durations/src/currantreach_durations/_speeds.py
+++ b/packages/currantreach-durations/src/currantreach_durations/_speeds.py
@@ -35,6 +35,9 @@
 # gone after some ten seconds without runs.
 _FULL_AGE_S = 2
 _MAX_AGE_S = 10
+# A lasting speed is remembered for longer and holds again once a run agrees, as
+# workers of a fleet with little work have a run in several seconds only.
+_MEMORY_S = 60
 # A deviation beyond three times its spread, and by at least a factor of two, is
 # a task of unusual length or a change of the worker; the second one tells.
 _SURPRISE = 3
@@ -86,12 +89,17 @@
         span_s = _MAX_AGE_S - _FULL_AGE_S
         return self.run_count * max(0, (_MAX_AGE_S - age_s) / span_s)
 
-    def age(self, now_s: float) -> None:
-        """Apply the time without runs."""
-        self.run_count = self.runs_at(now_s)
-        if now_s > self.updated_at_s + _MAX_AGE_S:
-            self.surprise_log = 0
+    def age(self, now_s: float, usual_log: float) -> None:
+        """Apply the time without runs when the next one has ended."""
+        age_s = now_s - self.updated_at_s
         self.updated_at_s = now_s
+        if age_s <= _MAX_AGE_S:
+            return
+        self.surprise_log = 0
+        difference_log = self.slowdown_log - usual_log
+        if age_s > _MEMORY_S or difference_log >= math.log(_MIN_CHANGE):
+            self.run_count = 0
+            self.slowdown_log = usual_log
 
     def replace(self, slowdown_log: float, run_count: float) -> None:
         """Replace all earlier runs after a change."""
@@ -182,7 +190,7 @@
         if prediction.queue_run_count < _MIN_QUEUE_RUNS:
             return
         speed = self._speeds.use(worker_id)
-        speed.age(now_s)
+        speed.age(now_s, self._usual_log)
         is_repeated = bool(step_id) and step_id in speed.recent_steps
         if not is_repeated or prediction.sibling_count >= _MIN_SIBLINGS:
             self._learn_deviation(
--- a/packages/currantreach-durations/tests/test_model.py
+++ b/packages/currantreach-durations/tests/test_model.py
@@ -176,6 +176,32 @@
     assert aged[-1] == 1
 
 
+def test_lasting_speed_is_known_with_few_runs(warm):
+    """With seconds between its runs, a worker would never be known as slow."""
+    fleet = warm(2, {**equal_workers(), 'w3': 1.8}, jobs=200)
+    for number in range(60):
+        fleet.now_s += 4
+        fleet.finish(declared(1, f'sparse-{number}'), 'w3', 1)
+    assert fleet.slowdowns()['w3'] == pytest.approx(1.8, rel=0.25)
+    assert fleet.model.slowdown('w3', fleet.now_s + 11) == 1
+    fleet.now_s += 15
+    fleet.finish(declared(1, 'next'), 'w3', 1)
+    assert fleet.slowdowns()['w3'] == pytest.approx(1.8, rel=0.25)
+
+
+def test_sudden_slowness_is_not_remembered(warm):
+    """A worker that was slow for 6 s would be slow again after a pause."""
+    fleet = warm(2)
+    fleet.speeds['w3'] = 7
+    for number in range(3):
+        fleet.finish(declared(1, f'slow-{number}'), 'w3', 1)
+    assert fleet.slowdowns()['w3'] > 3
+    fleet.speeds['w3'] = 1
+    fleet.now_s += 11
+    fleet.finish(declared(1, 'next'), 'w3', 2)
+    assert fleet.slowdowns()['w3'] == 1
+
+
 def test_slow_step_does_not_make_its_workers_slow(warm):
     """A step that was declared far too short would make its workers slow."""
     fleet = warm(1)
