Start tight stages elsewhere than on workers whose runs stand still

Cause: a worker that becomes slow shows in finished runs only after they have ended there, and three runs in a hundred take seven times as long on a healthy worker. No run is stopped or copied. Result: tight tasks start elsewhere, tasks with slack still use the worker.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -19,9 +19,14 @@
     workers_to_query,
 )
 from currantreach_jobs._priority_boost import PriorityBoost
+from currantreach_jobs._slow_runs import SlowRuns
 from currantreach_jobs._urgency import urgency_key
 from currantreach_jobs._wait_reasons import WaitReason
-from currantreach_jobs._worker_ranking import WorkerSpeeds, measure_speeds
+from currantreach_jobs._worker_ranking import (
+    WorkerSpeeds,
+    measure_speeds,
+    read_slowdowns,
+)
 from currantreach_telemetry import log_event, log_warning
 
 if TYPE_CHECKING:
@@ -77,6 +82,7 @@
         self._priority_boost = PriorityBoost()
         self._boosted_stage: Stage | None = None
         self._speeds = WorkerSpeeds()
+        self._slow_runs = SlowRuns()
         self._cluster = cluster
         self._advice_dispatcher = advice_dispatcher
         self._clock = clock
@@ -96,9 +102,7 @@
             if worker.is_open(now_s)
         }
         if now_s >= self._speeds.valid_until_s:
-            self._speeds = measure_speeds(
-                self._cluster.workers, self._cluster.durations, now_s
-            )
+            self._measure_speeds(now_s)
         ready_stages = list(self._cluster.ready_stages())
         update_paths(ready_stages, self._cluster.durations, now_s)
         stages = sorted(
@@ -259,6 +263,12 @@
         if is_boosted:
             self._priority_boost.record_reservation(now_s)
 
+    def _measure_speeds(self, now_s: float) -> None:
+        workers = self._cluster.workers
+        slowdowns = read_slowdowns(workers, self._cluster.durations)
+        slowdowns.update(self._slow_runs.observe(workers, slowdowns, now_s))
+        self._speeds = measure_speeds(slowdowns, now_s)
+
     def _speed_order(self, stage: Stage, now_s: float) -> SpeedOrder | None:
         return self._speeds.order_for(stage, now_s)
 
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_ranking.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_ranking.py
@@ -18,7 +18,7 @@
     from currantreach_jobs._stage_durations import StageDurations
     from currantreach_jobs._usage import WorkerState
 
-__all__ = ('SpeedOrder', 'WorkerSpeeds', 'measure_speeds')
+__all__ = ('SpeedOrder', 'WorkerSpeeds', 'measure_speeds', 'read_slowdowns')
 
 # Learned slowdowns of equally fast workers scatter by a tenth or so. Slowdowns
 # from 0.88 to 1.14 are of the level of usual workers; each further level is
@@ -146,16 +146,25 @@
         )
 
 
-def measure_speeds(
+def read_slowdowns(
     worker_ids: Iterable[str],
     durations: StageDurations,
+) -> dict[str, float]:
+    """Return the learned slowdowns of workers; 1 for implausible ones."""
+    return {
+        worker_id: _slowdown_of(worker_id, durations)
+        for worker_id in worker_ids
+    }
+
+
+def measure_speeds(
+    slowdown_by_worker: Mapping[str, float],
     now_s: float,
 ) -> WorkerSpeeds:
-    """Return the speeds of workers by their learned slowdowns."""
+    """Return the speeds of workers by their slowdowns."""
     level_by_worker: dict[str, int] = {}
     slowdowns: dict[int, list[float]] = collections.defaultdict(list)
-    for worker_id in worker_ids:
-        slowdown = _slowdown_of(worker_id, durations)
+    for worker_id, slowdown in slowdown_by_worker.items():
         level = _level_of(slowdown)
         level_by_worker[worker_id] = level
         slowdowns[level].append(slowdown)
@@ -164,11 +173,11 @@
     slowdowns[0] = slowdowns[0] or [1]
     return WorkerSpeeds(
         level_by_worker=level_by_worker,
-        is_uniform=is_uniform,
         slowdown_by_level={
             level: sum(slowdowns[level]) / len(slowdowns[level])
             for level in sorted(slowdowns, reverse=True)
         },
+        is_uniform=is_uniform,
         valid_until_s=now_s + _SPEEDS_AGE_S,
     )
 
--- a/packages/currantreach-jobs/tests/test_worker_ranking.py
+++ b/packages/currantreach-jobs/tests/test_worker_ranking.py
@@ -20,7 +20,7 @@
 from currantreach_jobs._progress import JobProgress
 from currantreach_jobs._stage_durations import StageDurations
 from currantreach_jobs._usage import WorkerState
-from currantreach_jobs._worker_ranking import measure_speeds
+from currantreach_jobs._worker_ranking import measure_speeds, read_slowdowns
 from currantreach_types import Resources
 
 ROOM = Resources(cpu_milli=16000, memory_mib=32768)
@@ -169,7 +169,8 @@
     progress.open_next()
     stage = progress.stages[0, 0]
     ids = [worker.report.worker_id for worker in workers]
-    order = measure_speeds(ids, durations, late_s).order_for(stage, late_s)
+    speeds = measure_speeds(read_slowdowns(ids, durations), late_s)
+    order = speeds.order_for(stage, late_s)
     former = _former_order(stage, workers)
     ranked = eligible_workers(stage, workers, late_s, speed_order=order)
     assert ranked == former
@@ -353,7 +354,9 @@
     )
     stage = fleet.cluster.jobs['gang'].stages[0, 0]
     now_s = fleet.clock.now_s()
-    speeds = measure_speeds(fleet.cluster.workers, durations, now_s)
+    speeds = measure_speeds(
+        read_slowdowns(fleet.cluster.workers, durations), now_s
+    )
     order = speeds.order_for(stage, now_s)
     workers = eligible_workers(
         stage, fleet.cluster.workers.values(), now_s, speed_order=order
