Measure the load by learned durations and spread Retry-After times

Cause: refusals followed declared estimates, which are off by a factor, and callers that were refused together were told the same time. Change: the waiting work is counted by its learned durations and the cores of the fleet by their learned speeds. Retry-After times are spread by the job's id over the whole seconds up to a quarter above the expected time; the latter is at most 12 s, so that none is above 15 s as before.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_load.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_load.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import zlib
 from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
@@ -10,6 +12,7 @@
 from currantreach_jobs._bounds import MAX_INTEGER
 from currantreach_jobs._memory import accepted_bytes
 from currantreach_jobs._progress import resource_demand
+from currantreach_jobs._worker_ranking import read_slowdowns
 from currantreach_types import Resources
 
 if TYPE_CHECKING:
@@ -33,9 +36,13 @@
 # A job that ends later than three times its objective is of no use to its
 # caller, so it is refused if it would wait for more than two objectives.
 _MAX_WAIT_FACTOR = 2
-# A caller is asked to retry after at most this time, as the load changes
-# faster.
-_MAX_RETRY_S = 15
+# A caller is asked to retry after at most 15 s, with the spread, as the load
+# changes faster.
+_MAX_RETRY_S = 12
+# Callers that were refused together are told times up to this fraction above
+# the expected one, so that they do not return together. The times are whole
+# seconds, as Retry-After has no others.
+_RETRY_SPREAD = 0.25
 # Teams that use less than this part of the memory for jobs are not named, so
 # that the load stays a short message.
 _LARGE_TEAM_DIVISOR = 50
@@ -65,13 +72,7 @@
 
 def measure_load(cluster: ClusterState, now_s: float) -> Load:
     """Return the current load of the fleet."""
-    # Workers that do not answer yet are included, as most of them are adopted
-    # soon after a takeover.
-    core_count = sum(
-        worker.report.room.cpu_milli / _MILLI
-        for worker in cluster.workers.values()
-        if worker.is_listed and not worker.report.is_draining
-    )
+    core_count = _usual_core_count(cluster)
     urgent_core_s: float = 0
     share_core_s: float = 0
     all_core_s: float = 0
@@ -131,15 +132,34 @@
         wait_s = load.wait_s
     if wait_s <= bound_s:
         return 0
-    return min(_MAX_RETRY_S, max(1, wait_s - bound_s))
+    retry_s = min(_MAX_RETRY_S, max(1, wait_s - bound_s))
+    earliest_s = math.ceil(retry_s)
+    choice_count = 1 + math.floor(retry_s * (1 + _RETRY_SPREAD)) - earliest_s
+    if choice_count < 2:
+        return retry_s
+    # The same job is told the same time by every daemon.
+    return earliest_s + zlib.crc32(job.job_id.encode()) % choice_count
+
+
+def _usual_core_count(cluster: ClusterState) -> float:
+    """Return how many cores of usual speed do as much as those of the fleet."""
+    # Workers that do not answer yet are included, as most of them are adopted
+    # soon after a takeover.
+    listed = {
+        worker_id: worker.report.room.cpu_milli / _MILLI
+        for worker_id, worker in cluster.workers.items()
+        if worker.is_listed and not worker.report.is_draining
+    }
+    slowdowns = read_slowdowns(listed, cluster.durations)
+    return sum(
+        core_count / slowdowns[worker_id]
+        for worker_id, core_count in listed.items()
+    )
 
 
 def _waiting_core_s(progress: JobProgress) -> float:
     return sum(
-        len(stage.waiting)
-        * stage.step.needed.cpu_milli
-        * stage.step.estimate_s
-        / _MILLI
+        len(stage.waiting) * stage.step.needed.cpu_milli * stage.mean_s / _MILLI
         for stage in progress.stages.values()
         if not stage.step.is_lasting and not stage.step.is_filling
     )
--- a/packages/currantreach-jobs/tests/test_overload.py
+++ b/packages/currantreach-jobs/tests/test_overload.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 import pytest
 
@@ -100,6 +102,74 @@
     assert 0 < wait_before_retry_s(load, batch) <= 15
 
 
+@pytest.mark.parametrize('wait_s', [10.5, 14, 17.3, 21, 600])
+def test_refused_callers_return_at_different_times(job, wait_s):
+    """Callers that were refused together must not all return together.
+
+    They would be refused together again. Retry-After has whole seconds, and
+    none of the times may be before the expected one.
+    """
+    queue = attrs.evolve(job('x').queue, priority=1)
+    load = Load(share_wait_s=wait_s)
+    jobs = [
+        job(f'n{number}', queue=queue, estimate_s=4) for number in range(99)
+    ]
+    # The objective is 5 s, so a wait of 10 s would be accepted.
+    honest_s = min(12, max(1, wait_s - 10))
+    times_s = [wait_before_retry_s(load, each) for each in jobs]
+    assert times_s == [wait_before_retry_s(load, each) for each in jobs]
+    assert all(honest_s <= each <= honest_s * 1.25 for each in times_s)
+    headers = {math.ceil(each) for each in times_s}
+    assert headers == {
+        seconds
+        for seconds in range(1, 16)
+        if honest_s <= seconds <= honest_s * 1.25
+    } or headers == {math.ceil(honest_s)}
+
+
+def test_learned_backlog_refuses_jobs(offline, durations, job):
+    """Work that takes longer than declared must not be accepted in vain.
+
+    By the estimates, the backlog is 5 s; by the finished runs it is 50 s.
+    """
+    queue = attrs.evolve(job('x').queue, name='slow', priority=1)
+    for number in range(10):
+        offline.cluster.add_job(
+            job(f'l{number}', queue=queue, needed=WHOLE, estimate_s=1)
+        )
+    made = job('new', queue=queue, estimate_s=4)
+    offline.cluster.workers['w1'].is_usable = False
+    offline.cluster.workers['w2'].is_usable = False
+    assert not wait_before_retry_s(measure_load(offline.cluster, 100), made)
+    durations.lengths_s['slow'] = (10, 12)
+    offline.started()
+    load = measure_load(offline.cluster, offline.clock.now_s())
+    assert load.share_wait_s == pytest.approx(50)
+    assert wait_before_retry_s(load, made) >= 12
+
+
+def test_slow_fleet_has_a_longer_backlog(offline, durations, job):
+    """A worker of half the speed does half the work."""
+    for number in range(4):
+        offline.cluster.add_job(job(f'l{number}', needed=WHOLE, estimate_s=2))
+    now_s = offline.clock.now_s()
+    assert measure_load(offline.cluster, now_s).wait_s == pytest.approx(4)
+    durations.slowdowns.update({'w1': 2, 'w2': 2})
+    assert measure_load(offline.cluster, now_s).wait_s == pytest.approx(8)
+
+
+def test_job_that_would_be_useless_is_refused_at_once(job):
+    """A job that ends after three times its objective is of no use.
+
+    One that would only be late is accepted.
+    """
+    queue = attrs.evolve(job('x').queue, priority=1, stretch_factor=2)
+    made = job('new', queue=queue, estimate_s=2)
+    assert made.objective_s() == 5
+    assert not wait_before_retry_s(Load(share_wait_s=9.9), made)
+    assert wait_before_retry_s(Load(share_wait_s=13.1), made)
+
+
 def test_urgent_job_is_accepted_despite_a_backlog(job):
     """A backlog of batch jobs is no reason to refuse an urgent job."""
     urgent = attrs.evolve(
