--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -18,10 +18,15 @@
 )
 from currantreach_jobs._priority_boost import PriorityBoost
 from currantreach_jobs._reservations import Reservations
+from currantreach_jobs._slow_runs import SlowRuns
 from currantreach_jobs._stage_advice import StageAdvice, min_start_count
 from currantreach_jobs._urgency import is_first, urgency_key
 from currantreach_jobs._wait_reasons import WaitReason
-from currantreach_jobs._worker_ranking import WorkerSpeeds, measure_speeds
+from currantreach_jobs._worker_ranking import (
+    WorkerSpeeds,
+    measure_speeds,
+    read_slowdowns,
+)
 from currantreach_telemetry import log_event, log_warning
 
 if TYPE_CHECKING:
@@ -66,6 +71,7 @@
         self._boosted_stage: Stage | None = None
         self._blocked_team = ''
         self._speeds = WorkerSpeeds()
+        self._slow_runs = SlowRuns()
         self._cluster = cluster
         self._stage_advice = StageAdvice(advice_dispatcher)
         forecasts = ForecastCalculator(cluster)
@@ -130,9 +136,7 @@
             if worker.is_open(now_s)
         }
         if now_s >= self._speeds.valid_until_s:
-            self._speeds = measure_speeds(
-                self._cluster.workers, self._cluster.durations, now_s
-            )
+            self._measure_speeds(now_s)
 
     def _schedule_unless_blocked(self, stage: Stage, now_s: float) -> None:
         blocked_team = self._blocked_team
@@ -257,6 +261,12 @@
             if now_s < valid_until_s and worker_id in self._open_workers
         ]
 
+    def _measure_speeds(self, now_s: float) -> None:
+        workers = self._cluster.workers
+        slowdowns = read_slowdowns(workers, self._cluster.durations)
+        slowdowns.update(self._slow_runs.observe(workers, slowdowns, now_s))
+        self._speeds = measure_speeds(slowdowns, now_s)
+
     def _speed_order(self, stage: Stage, now_s: float) -> SpeedOrder | None:
         return self._speeds.order_for(stage, now_s)
 
