Reserve what becomes free soonest, and lend it meanwhile

A waiting gang reserved the emptiest workers, on which the last run may end late, and their free capacity stayed unused until then.

A gang reserves the fewest workers with which it can start at the earliest expected time, at most half of the fleet, as before. The reservation has that time, and a task whose tail ends 0.1 s before it may use the capacity. A boosted stage lends nothing, as its wait is bounded; a task without an estimate and a long-running one borrow nothing. Without estimates the emptiest workers are reserved and nothing is lent.

stage_started counts the borrowed places, stage_waiting shows the number of calls and allowed workers and the time until the expected capacity.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -22,7 +22,7 @@
 from currantreach_telemetry import log_event, log_warning
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Iterable, Sequence
 
     from currantreach_jobs._advice import AdviceDispatcher
     from currantreach_jobs._cluster_state import ClusterState
@@ -164,8 +164,7 @@
         candidates = list(self._open_workers.values())
         if advice is not None:
             candidates = self._workers_with_tickets(stage, now_s)
-        is_boosted = stage is self._boosted_stage
-        candidates = eligible_workers(stage, candidates, now_s, is_boosted)
+        candidates = self._eligible(stage, candidates, now_s)
         assigned = assign(stage, candidates, max_count)
         self._start(stage, assigned)
         if assigned:
@@ -180,12 +179,7 @@
         advice = stage.job_progress.job.queue.advice
         wait_reason = WaitReason.NO_ROOM
         stage.next_search_at_s = now_s + _SEARCH_INTERVAL_S
-        workers = eligible_workers(
-            stage,
-            self._open_workers.values(),
-            now_s,
-            stage is self._boosted_stage,
-        )
+        workers = self._eligible(stage, self._open_workers.values(), now_s)
         is_boosted = stage is self._boosted_stage
         forecast = None
         if stage.step.is_gang or is_boosted:
@@ -206,6 +200,21 @@
                 self._priority_boost.record_reservation(now_s)
         return wait_reason
 
+    def _eligible(
+        self,
+        stage: Stage,
+        workers: Iterable[WorkerState],
+        now_s: float,
+    ) -> list[WorkerState]:
+        """Return the workers that may run tasks of a stage, best first."""
+        return eligible_workers(
+            stage,
+            workers,
+            now_s,
+            stage is self._boosted_stage,
+            self._cluster.durations,
+        )
+
     def _workers_with_tickets(
         self,
         stage: Stage,
@@ -237,7 +246,8 @@
             self._launch(run, code)
             if worker.reserved_by is stage:
                 worker.reserved_by = None
-        waited_s = self._clock.now_s() - stage.job_progress.accepted_at_s
+        now_s = self._clock.now_s()
+        waited_s = now_s - stage.job_progress.accepted_at_s
         self._metrics.record_wait(stage.job_progress.job.queue.name, waited_s)
         log_event(
             'stage_started',
@@ -245,6 +255,11 @@
             step=stage.step_number,
             tasks=len(assigned),
             left=len(stage.waiting),
+            borrowed=sum(
+                1
+                for _, worker in assigned
+                if worker.is_reserved_for_other(stage, now_s)
+            ),
             workers=','.join(
                 sorted({worker.report.worker_id for _, worker in assigned}),
             ),
--- a/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
@@ -13,6 +13,7 @@
     from collections.abc import Iterable, Sequence
 
     from currantreach_jobs._progress import Stage
+    from currantreach_jobs._stage_durations import StageDurations
     from currantreach_jobs._usage import WorkerState
 
 __all__ = (
@@ -34,11 +35,14 @@
     workers: Iterable[WorkerState],
     now_s: float,
     is_boosted: bool = False,
+    durations: StageDurations | None = None,
 ) -> list[WorkerState]:
     """Return the workers that may run tasks of a stage, best first.
 
     :param workers: workers on which anything may be started.
     :param is_boosted: whether capacity reserved for other stages may be used.
+    :param durations: expected durations, by which a task may use capacity that
+        is reserved for a later time.
 
     Workers with less free processor time come first (best fit), so that
     emptier ones stay available for large tasks and gangs.
@@ -46,7 +50,12 @@
     fitting = [
         worker
         for worker in workers
-        if _is_eligible(stage, worker, now_s, is_boosted)
+        if _is_eligible(stage, worker)
+        and (
+            is_boosted
+            or not worker.is_reserved_for_other(stage, now_s)
+            or _may_borrow(stage, worker, now_s, durations)
+        )
     ]
     rack = stage.step.data_rack
     fitting.sort(
@@ -258,18 +267,31 @@
     )
 
 
-def _is_eligible(
+def _is_eligible(stage: Stage, worker: WorkerState) -> bool:
+    if not meets_requirements(stage, worker):
+        return False
+    step = stage.step
+    if step.is_filling or step.tail_target_ms:
+        return not worker.has_colocation_conflict(step)
+    return True
+
+
+def _may_borrow(
     stage: Stage,
     worker: WorkerState,
     now_s: float,
-    is_boosted: bool,
+    durations: StageDurations | None,
 ) -> bool:
-    if not meets_requirements(stage, worker):
+    """Tell whether tasks end before the capacity is needed by its stage."""
+    if durations is None or stage.step.is_lasting:
+        return False
+    # Cheap checks first: each stage meets all reserved workers in each round.
+    if now_s >= worker.reserved_start_s:
+        return False
+    if worker.free.cpu_milli < stage.demand.cpu_milli:
         return False
-    if worker.reserved_by is not None and not is_boosted:
-        if worker.is_reserved_for_other(stage, now_s):
-            return False
-    return not worker.has_colocation_conflict(stage.step)
+    tail_s = durations.tail_s(stage, worker.report.worker_id)
+    return worker.is_lendable(tail_s, now_s)
 
 
 def _single_rack_first(
--- a/packages/currantreach-jobs/src/currantreach_jobs/_reservations.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_reservations.py
@@ -92,9 +92,12 @@
         if not reserved_workers:
             return False
         self._reservable_count -= len(reserved_workers)
+        # Nothing may delay a boosted stage, whose wait is bounded.
+        lending_end_s = forecast.start_s if forecast and not is_boosted else 0
         for worker in reserved_workers:
             worker.reserved_by = stage
             worker.reserved_until_s = now_s + _RESERVATION_S
+            worker.reserved_start_s = lending_end_s
         return True
 
     def _max_workers(
--- a/packages/currantreach-jobs/src/currantreach_jobs/_usage.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_usage.py
@@ -25,6 +25,9 @@
 # A faulty worker is used again after this pause, as such faults last for a few
 # seconds.
 _FAILURE_PAUSE_S = 4
+# Time between the decision to start a task and its start on the worker, and
+# between its end and the next decision.
+_LENDING_MARGIN_S = 0.1
 
 
 def fitting_count_within(stage: Stage, capacity: Resources) -> int:
@@ -60,6 +63,8 @@
     :ivar quarantined: runs of quarantined jobs, with their teams and steps.
     :ivar is_listed: whether the platform lists the worker.
     :ivar reserved_by: stage for which capacity that becomes free is reserved.
+    :ivar reserved_start_s: when that stage is expected to start, 0 if it is not
+        known.
     :ivar paused_until_s: end of the pause after a streak of failures.
     :ivar born_unix_ms: start time of the process that answers, 0 if it is not
         known.
@@ -78,6 +83,7 @@
     )
     reserved_by: object | None = None
     reserved_until_s: float = 0
+    reserved_start_s: float = 0
     is_listed: bool = True
 
     def add(self, run: Run) -> None:
@@ -136,6 +142,16 @@
             return False
         return now_s < self.reserved_until_s
 
+    def is_lendable(self, tail_s: float, now_s: float) -> bool:
+        """Tell whether reserved capacity may be used by a short task.
+
+        :param tail_s: duration on the worker that few such tasks exceed, 0 if
+            it is not known.
+        """
+        if tail_s <= 0:
+            return False
+        return now_s + tail_s + _LENDING_MARGIN_S <= self.reserved_start_s
+
     def has_colocation_conflict(self, step: Step) -> bool:
         """Tell whether a step must not run beside a task on the worker.
 
--- a/packages/currantreach-jobs/src/currantreach_jobs/_wait_monitor.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_wait_monitor.py
@@ -203,6 +203,7 @@
             'forbidden': found.forbidden_count,
             'open': found.open_count,
             'workers': len(self._cluster.workers),
+            **_advice_fields(stage, now_s),
         }
 
 
@@ -223,6 +224,17 @@
         found.free_count += count
 
 
+def _advice_fields(stage: Stage, now_s: float) -> Mapping[str, object]:
+    """Return what is known of the placement service and of the capacity."""
+    fields: dict[str, object] = {}
+    if stage.job_progress.job.queue.advice is not None:
+        fields['calls'] = stage.advice_call_count
+        fields['allowed'] = sum(stage.allowed.values())
+    if stage.expected_start_s:
+        fields['expected_s'] = round(stage.expected_start_s - now_s, 1)
+    return fields
+
+
 def _fields_of(
     wait_reason: WaitReason,
     stage: Stage,
