Pack workers by the scarcer of cores and memory

Best fit counted free cores only. Where the memory of the fleet runs out first, it filled workers with much free memory and few free cores, and tasks that need much memory found it on no worker.

choose_free_share returns the measure of the resource with the smaller free share on the open workers of a round; by cores the order is as before. The measure is a parameter of eligible_workers.

Rounds are made shorter at the same time: assign and the filter of eligible workers no longer do work for workers without capacity or without a reservation, and the forecast keeps the expected ends on a worker until the first of them, for a second at most.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_capacity_forecast.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_capacity_forecast.py
@@ -21,9 +21,9 @@
 
 __all__ = ('CapacityForecast', 'ForecastCalculator')
 
-# The expected ends of the runs on a worker are computed this often at most, as
-# long as no run starts or ends there.
-_MAX_AGE_S = 0.2
+# The expected ends of the runs on a worker are computed again after this time,
+# after the first of them, and whenever a run starts or ends there.
+_MAX_AGE_S = 1
 # Runs that end within this time of each other count as ending together, as no
 # expected end is more exact. It allows the use of fewer workers.
 _TOLERANCE_S = 0.1
@@ -63,7 +63,7 @@
     :ivar steps: times and free resources from then on, in order of time.
     """
 
-    made_at_s: float
+    valid_until_s: float
     free: Resources
     steps: tuple[tuple[float, Resources], ...]
 
@@ -144,9 +144,13 @@
         self, stage: Stage, worker: WorkerState, now_s: float
     ) -> Iterator[_Gain]:
         """Yield from when on how many more tasks fit on a worker."""
-        fitting = 0
+        steps = self._timeline(worker, now_s).steps
         limit = stage.step.max_per_worker or stage.step.task_count
-        for time_s, free in self._timeline(worker, now_s).steps:
+        most = min(limit, fitting_count_within(stage, steps[-1][1]))
+        fitting = 0
+        for time_s, free in steps:
+            if fitting >= most:
+                break
             count = min(limit, fitting_count_within(stage, free))
             if count > fitting:
                 yield _Gain(time_s, worker, count - fitting)
@@ -156,23 +160,33 @@
         worker_id = worker.report.worker_id
         known = self._timelines.get(worker_id)
         if known is not None and known.free is worker.free:
-            if now_s - known.made_at_s < _MAX_AGE_S:
+            if now_s < known.valid_until_s:
                 return known
-        ends: list[tuple[float, Run]] = []
-        for run in worker.running():
-            end_s = self._end_s(run, now_s)
-            if end_s is not None:
-                ends.append((end_s, run))
-        ends.sort(key=itemgetter(0))
+        ends = self._ends(worker, now_s)
         free = worker.free
         steps: list[tuple[float, Resources]] = [(0, free)]
         for time_s, ending in ends:
             free += ending.stage.demand
             steps.append((time_s, free))
-        timeline = _Timeline(now_s, worker.free, tuple(steps))
+        valid_until_s = now_s + _MAX_AGE_S
+        if ends:
+            valid_until_s = min(valid_until_s, ends[0][0])
+        timeline = _Timeline(valid_until_s, worker.free, tuple(steps))
         self._timelines[worker_id] = timeline
         return timeline
 
+    def _ends(
+        self, worker: WorkerState, now_s: float
+    ) -> list[tuple[float, Run]]:
+        """Return the runs that are expected to end, in order of their ends."""
+        ends: list[tuple[float, Run]] = []
+        for run in worker.running():
+            end_s = self._end_s(run, now_s)
+            if end_s is not None:
+                ends.append((end_s, run))
+        ends.sort(key=itemgetter(0))
+        return ends
+
     def _end_s(self, run: Run, now_s: float) -> float | None:
         """Return when a run is expected to end, if that is known."""
         durations = self._cluster.durations
--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -11,6 +11,7 @@
 
 from currantreach_jobs._capacity_forecast import ForecastCalculator
 from currantreach_jobs._lookahead import AdviceLookahead
+from currantreach_jobs._packing import choose_free_share, free_cpu
 from currantreach_jobs._placement import (
     assign,
     eligible_workers,
@@ -27,6 +28,7 @@
     from currantreach_jobs._advice import AdviceDispatcher
     from currantreach_jobs._cluster_state import ClusterState
     from currantreach_jobs._model import SiteConfig, Team
+    from currantreach_jobs._packing import FreeShare
     from currantreach_jobs._progress import Run, Stage
     from currantreach_jobs._usage import WorkerState
     from currantreach_telemetry import Metrics
@@ -58,6 +60,7 @@
         :param launch: starts a run with its ticket.
         """
         self._open_workers: dict[str, WorkerState] = {}
+        self._free_share: FreeShare = free_cpu
         self._priority_boost = PriorityBoost()
         self._boosted_stage: Stage | None = None
         self._cluster = cluster
@@ -81,6 +84,7 @@
             for worker_id, worker in self._cluster.workers.items()
             if worker.is_open(now_s)
         }
+        self._free_share = choose_free_share(self._open_workers.values())
         stages = sorted(
             self._cluster.ready_stages(),
             key=lambda stage: _urgency_key(stage, now_s),
@@ -213,6 +217,7 @@
             now_s,
             stage is self._boosted_stage,
             self._cluster.durations,
+            self._free_share,
         )
 
     def _workers_with_tickets(
--- a/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
@@ -7,11 +7,13 @@
 from typing import TYPE_CHECKING
 
 from currantreach_jobs._advice_planning import MAX_QUERIED, planned_count
+from currantreach_jobs._packing import free_cpu
 from currantreach_jobs._usage import fitting_count_within
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
+    from currantreach_jobs._packing import FreeShare
     from currantreach_jobs._progress import Stage
     from currantreach_jobs._stage_durations import StageDurations
     from currantreach_jobs._usage import WorkerState
@@ -36,6 +38,7 @@
     now_s: float,
     is_boosted: bool = False,
     durations: StageDurations | None = None,
+    free_share: FreeShare = free_cpu,
 ) -> list[WorkerState]:
     """Return the workers that may run tasks of a stage, best first.
 
@@ -43,25 +46,36 @@
     :param is_boosted: whether capacity reserved for other stages may be used.
     :param durations: expected durations, by which a task may use capacity that
         is reserved for a later time.
+    :param free_share: measure of the free capacity of a worker.
 
-    Workers with less free processor time come first (best fit), so that
-    emptier ones stay available for large tasks and gangs.
+    Workers with less free capacity come first (best fit), so that emptier ones
+    stay available for large tasks and gangs.
     """
+    # Each round runs this for most pairs of worker and stage, so the usual case
+    # of a worker without a reservation needs no further call.
     fitting = [
         worker
         for worker in workers
-        if _is_eligible(stage, worker)
+        if meets_requirements(stage, worker)
         and (
             is_boosted
+            or worker.reserved_by is None
             or not worker.is_reserved_for_other(stage, now_s)
             or _may_borrow(stage, worker, now_s, durations)
         )
     ]
-    rack = stage.step.data_rack
+    step = stage.step
+    if step.is_filling or step.tail_target_ms:
+        fitting = [
+            worker
+            for worker in fitting
+            if not worker.has_colocation_conflict(step)
+        ]
+    rack = step.data_rack
     fitting.sort(
         key=lambda worker: (
             bool(rack) and rack not in worker.report.labels,
-            worker.free.cpu_milli,
+            free_share(worker),
         ),
     )
     return fitting
@@ -117,11 +131,13 @@
     indices = sorted(stage.waiting)[:max_count]
     assigned: list[tuple[int, WorkerState]] = []
     for worker in workers:
-        remaining = indices[len(assigned) :]
-        if not remaining:
+        first = len(assigned)
+        if first >= len(indices):
             break
         count = fitting_count(stage, worker)
-        assigned.extend((index, worker) for index in remaining[:count])
+        if count:
+            chosen = indices[first : first + count]
+            assigned.extend((index, worker) for index in chosen)
     if stage.step.is_gang and len(assigned) < stage.step.task_count:
         return []
     return assigned
@@ -267,15 +283,6 @@
     )
 
 
-def _is_eligible(stage: Stage, worker: WorkerState) -> bool:
-    if not meets_requirements(stage, worker):
-        return False
-    step = stage.step
-    if step.is_filling or step.tail_target_ms:
-        return not worker.has_colocation_conflict(step)
-    return True
-
-
 def _may_borrow(
     stage: Stage,
     worker: WorkerState,
