--- a/packages/currantreach-jobs/src/currantreach_jobs/_capacity_forecast.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_capacity_forecast.py
@@ -171,6 +171,9 @@
         valid_until_s = now_s + _MAX_AGE_S
         if ends:
             valid_until_s = min(valid_until_s, ends[0][0])
+        if len(self._timelines) > 2 * len(self._cluster.workers):
+            # Most of them are of workers that have left.
+            self._timelines.clear()
         timeline = _Timeline(valid_until_s, worker.free, tuple(steps))
         self._timelines[worker_id] = timeline
         return timeline
--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -107,7 +107,7 @@
                 stage.wait_reason = WaitReason.TEAM_LIMIT
             else:
                 self._schedule_stage(stage, now_s)
-        self._lookahead.ask_ahead(tuple(self._open_workers.values()), now_s)
+        self._ask_ahead(now_s)
         self._metrics.record_decision_round(self._clock.now_s() - now_s)
 
     def _schedule_stage(self, stage: Stage, now_s: float) -> None:
@@ -128,6 +128,14 @@
             )
         stage.wait_reason = wait_reason or stage.wait_reason
 
+    def _ask_ahead(self, now_s: float) -> None:
+        try:
+            self._lookahead.ask_ahead(tuple(self._open_workers.values()), now_s)
+        except Exception as error:
+            # Calls in advance are of use, but nothing depends on them.
+            self._metrics.record_retry('lookahead_failed')
+            log_warning('lookahead_failed', error=repr(error))
+
     def _precheck(self, stage: Stage, now_s: float) -> WaitReason | None:
         """Return why a stage cannot be placed in this round, if so."""
         if now_s < stage.retry_at_s:
--- a/packages/currantreach-jobs/tests/test_reservations.py
+++ b/packages/currantreach-jobs/tests/test_reservations.py
@@ -231,12 +231,22 @@
     assert not fleet.offline.started()
 
 
-def test_new_leader_starts_without_reservations(fleet, lending, make_offline):
-    """A leader that takes over knows no reservation, and makes its own."""
+def test_new_leader_makes_its_own_reservations(lending, make_offline, job):
+    """A leader that takes over must not depend on earlier reservations.
+
+    It has adopted the run on ``w1``, and knows its duration by the estimate.
+    """
     successor = make_offline()
-    workers = successor.cluster.workers
-    assert not any(worker.reserved_by for worker in workers.values())
-    assert not any(worker.reserved_start_s for worker in workers.values())
+    worker = successor.cluster.workers['w1']
+    assert worker.reserved_by is None
+    taken_over = Fleet(successor, job)
+    taken_over.occupy('full', 'w2', WHOLE, 90)
+    taken_over.occupy('half', 'w1', HALF, 3)
+    gang = taken_over.add('gang', 2, needed=HALF, is_gang=True, estimate_s=4)
+    taken_over.add('long', needed=QUARTER, estimate_s=9)
+    assert not successor.started()
+    assert worker.reserved_by is gang
+    assert worker.reserved_start_s == pytest.approx(NOW_S + 3)
 
 
 @pytest.mark.parametrize('size', [2, 3, 4])
--- a/packages/currantreach-jobs/tests/test_tickets_in_time.py
+++ b/packages/currantreach-jobs/tests/test_tickets_in_time.py
@@ -291,6 +291,20 @@
     assert calls[0][0] is later
 
 
+def test_error_in_a_pass_does_not_end_the_round(scene, later, log):
+    """An error while looking ahead must be logged, and start all the same."""
+
+    def fail(*_):
+        raise ValueError('no such duration')
+
+    scene.offline.stage_scheduler._lookahead.ask_ahead = fail
+    filling = scene.offline.cluster.jobs['fill-w4'].stages[0, 0]
+    scene.offline.end(*[task.run for task in filling.tasks])
+    scene.offline.cluster.add_job(scene.job('plain', needed=TASK))
+    assert scene.offline.started() == ['plain']
+    assert any('lookahead_failed' in line for line in log.formatted_records)
+
+
 class StubCell:
     """Members of a cell; the last three send the long calls."""
 
