--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -12,6 +12,7 @@
 from currantreach_jobs._capacity_forecast import ForecastCalculator
 from currantreach_jobs._job_paths import update_paths
 from currantreach_jobs._lookahead import AdviceLookahead
+from currantreach_jobs._packing import choose_free_share, free_cpu
 from currantreach_jobs._placement import (
     assign,
     eligible_workers,
@@ -30,11 +31,12 @@
 from currantreach_telemetry import log_event, log_warning
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Iterable, Sequence
 
     from currantreach_jobs._advice import AdviceDispatcher
     from currantreach_jobs._cluster_state import ClusterState
     from currantreach_jobs._model import SiteConfig, Team
+    from currantreach_jobs._packing import FreeShare
     from currantreach_jobs._progress import Run, Stage
     from currantreach_jobs._usage import WorkerState
     from currantreach_jobs._worker_ranking import SpeedOrder
@@ -67,6 +69,7 @@
         :param launch: starts a run with its ticket.
         """
         self._open_workers: dict[str, WorkerState] = {}
+        self._free_share: FreeShare = free_cpu
         self._priority_boost = PriorityBoost()
         self._boosted_stage: Stage | None = None
         self._blocked_team = ''
@@ -108,7 +111,7 @@
         for stage in stages:
             if stage is not self._boosted_stage:
                 self._schedule_unless_blocked(stage, now_s)
-        self._lookahead.ask_ahead(tuple(self._open_workers.values()), now_s)
+        self._ask_ahead(now_s)
         self._metrics.record_decision_round(self._clock.now_s() - now_s)
 
     def schedule_urgent(self) -> None:
@@ -135,6 +138,7 @@
             for worker_id, worker in self._cluster.workers.items()
             if worker.is_open(now_s)
         }
+        self._free_share = choose_free_share(self._open_workers.values())
         if now_s >= self._speeds.valid_until_s:
             self._measure_speeds(now_s)
 
@@ -163,6 +167,14 @@
             )
         stage.wait_reason = wait_reason or stage.wait_reason
 
+    def _ask_ahead(self, now_s: float) -> None:
+        try:
+            self._lookahead.ask_ahead(tuple(self._open_workers.values()), now_s)
+        except Exception as error:
+            # Calls in advance are of use, but nothing depends on them.
+            self._metrics.record_retry('lookahead_failed')
+            log_warning('lookahead_failed', error=repr(error))
+
     def _precheck(self, stage: Stage, now_s: float) -> WaitReason | None:
         """Return why a stage cannot be placed in this round, if so."""
         if now_s < stage.retry_at_s:
@@ -203,11 +215,8 @@
         candidates = list(self._open_workers.values())
         if advice is not None:
             candidates = self._workers_with_tickets(stage, now_s)
-        is_boosted = stage is self._boosted_stage
         speed_order = self._speed_order(stage, now_s)
-        candidates = eligible_workers(
-            stage, candidates, now_s, is_boosted, speed_order
-        )
+        candidates = self._eligible(stage, candidates, now_s, speed_order)
         assigned = assign(stage, candidates, max_count, speed_order)
         self._start(stage, assigned)
         if assigned:
@@ -224,12 +233,8 @@
         stage.next_search_at_s = now_s + _SEARCH_INTERVAL_S
         is_boosted = stage is self._boosted_stage
         speed_order = self._speed_order(stage, now_s)
-        workers = eligible_workers(
-            stage,
-            self._open_workers.values(),
-            now_s,
-            is_boosted,
-            speed_order,
+        workers = self._eligible(
+            stage, self._open_workers.values(), now_s, speed_order
         )
         forecast = None
         if stage.step.is_gang or is_boosted:
@@ -250,6 +255,24 @@
                 self._priority_boost.record_reservation(now_s)
         return wait_reason
 
+    def _eligible(
+        self,
+        stage: Stage,
+        workers: Iterable[WorkerState],
+        now_s: float,
+        speed_order: SpeedOrder | None,
+    ) -> list[WorkerState]:
+        """Return the workers that may run tasks of a stage, best first."""
+        return eligible_workers(
+            stage,
+            workers,
+            now_s,
+            stage is self._boosted_stage,
+            speed_order,
+            self._cluster.durations,
+            self._free_share,
+        )
+
     def _workers_with_tickets(
         self,
         stage: Stage,
@@ -290,7 +313,8 @@
             self._launch(run, code)
             if worker.reserved_by is stage:
                 worker.reserved_by = None
-        waited_s = self._clock.now_s() - stage.job_progress.accepted_at_s
+        now_s = self._clock.now_s()
+        waited_s = now_s - stage.job_progress.accepted_at_s
         self._metrics.record_wait(stage.job_progress.job.queue.name, waited_s)
         log_event(
             'stage_started',
@@ -298,6 +322,11 @@
             step=stage.step_number,
             tasks=len(assigned),
             left=len(stage.waiting),
+            borrowed=sum(
+                1
+                for _, worker in assigned
+                if worker.is_reserved_for_other(stage, now_s)
+            ),
             workers=','.join(
                 sorted({worker.report.worker_id for _, worker in assigned}),
             ),
--- a/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
@@ -7,12 +7,15 @@
 from typing import TYPE_CHECKING
 
 from currantreach_jobs._advice_planning import MAX_QUERIED, planned_count
+from currantreach_jobs._packing import free_cpu
 from currantreach_jobs._usage import fitting_count_within
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
+    from currantreach_jobs._packing import FreeShare
     from currantreach_jobs._progress import Stage
+    from currantreach_jobs._stage_durations import StageDurations
     from currantreach_jobs._usage import WorkerState
     from currantreach_jobs._worker_ranking import SpeedOrder
 
@@ -36,28 +39,48 @@
     now_s: float,
     is_boosted: bool = False,
     speed_order: SpeedOrder | None = None,
+    durations: StageDurations | None = None,
+    free_share: FreeShare = free_cpu,
 ) -> list[WorkerState]:
     """Return the workers that may run tasks of a stage, best first.
 
     :param workers: workers on which anything may be started.
     :param is_boosted: whether capacity reserved for other stages may be used.
     :param speed_order: order of the speeds of workers, if they differ.
+    :param durations: expected durations, by which a task may use capacity that
+        is reserved for a later time.
+    :param free_share: measure of the free capacity of a worker.
 
-    Among equally fast workers, those with less free processor time come first
-    (best fit), so that emptier ones stay available for large tasks and gangs.
+    Among equally fast workers, those with less free capacity come first (best
+    fit), so that emptier ones stay available for large tasks and gangs.
     """
+    # Each round runs this for most pairs of worker and stage, so the usual case
+    # of a worker without a reservation needs no further call.
     fitting = [
         worker
         for worker in workers
-        if _is_eligible(stage, worker, now_s, is_boosted)
+        if meets_requirements(stage, worker)
+        and (
+            is_boosted
+            or worker.reserved_by is None
+            or not worker.is_reserved_for_other(stage, now_s)
+            or _may_borrow(stage, worker, now_s, durations)
+        )
     ]
-    rack = stage.step.data_rack
+    step = stage.step
+    if step.is_filling or step.tail_target_ms:
+        fitting = [
+            worker
+            for worker in fitting
+            if not worker.has_colocation_conflict(step)
+        ]
     # The sort is stable: the last key takes precedence over the earlier ones.
-    fitting.sort(key=lambda worker: worker.free.cpu_milli)
+    fitting.sort(key=free_share)
     if speed_order is not None:
         fitting.sort(
             key=lambda worker: speed_order.rank(worker.report.worker_id),
         )
+    rack = step.data_rack
     if rack:
         fitting.sort(key=lambda worker: rack not in worker.report.labels)
     return fitting
@@ -117,11 +140,13 @@
     indices = sorted(stage.waiting)[:max_count]
     assigned: list[tuple[int, WorkerState]] = []
     for worker in workers:
-        remaining = indices[len(assigned) :]
-        if not remaining:
+        first = len(assigned)
+        if first >= len(indices):
             break
         count = fitting_count(stage, worker)
-        assigned.extend((index, worker) for index in remaining[:count])
+        if count:
+            chosen = indices[first : first + count]
+            assigned.extend((index, worker) for index in chosen)
     if stage.step.is_gang and len(assigned) < stage.step.task_count:
         return []
     return assigned
@@ -280,18 +305,22 @@
     )
 
 
-def _is_eligible(
+def _may_borrow(
     stage: Stage,
     worker: WorkerState,
     now_s: float,
-    is_boosted: bool,
+    durations: StageDurations | None,
 ) -> bool:
-    if not meets_requirements(stage, worker):
+    """Tell whether tasks end before the capacity is needed by its stage."""
+    if durations is None or stage.step.is_lasting:
+        return False
+    # Cheap checks first: each stage meets all reserved workers in each round.
+    if now_s >= worker.reserved_start_s:
+        return False
+    if worker.free.cpu_milli < stage.demand.cpu_milli:
         return False
-    if worker.reserved_by is not None and not is_boosted:
-        if worker.is_reserved_for_other(stage, now_s):
-            return False
-    return not worker.has_colocation_conflict(stage.step)
+    tail_s = durations.tail_s(stage, worker.report.worker_id)
+    return worker.is_lendable(tail_s, now_s)
 
 
 def _gang_workers(
