Read evacuations, their bound and the cold time of workers

The operator evacuates a failure domain by a key of the store, and workers report how much longer they are slow after a start; the adapter ignored both. Sources without evacuations have none.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_clients.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_clients.py
@@ -147,6 +147,20 @@
     def last_answer_at_s(self) -> float:
         """Return the time of the last answer of the operator's store."""
 
+    @property
+    def evacuated_domains(self) -> frozenset[str]:
+        """Return the failure domains in which nothing may be started.
+
+        A domain stays evacuated until the operator's store shows that it no
+        longer is; a failed call to the store changes nothing.
+        """
+        return frozenset()
+
+    @property
+    def evacuations_read_at_s(self) -> float:
+        """Return a time at which the evacuated domains were complete."""
+        return self.last_answer_at_s
+
     @abc.abstractmethod
     async def follow(self) -> None:
         """Follow the configuration until the task is cancelled."""
--- a/packages/currantreach-jobs/src/currantreach_jobs/_model.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_model.py
@@ -295,6 +295,7 @@
     :ivar room: resources of the worker for tasks.
     :ivar born_unix_ms: start time of the worker process.
     :ivar drain_remaining_s: minimum time until a draining worker exits.
+    :ivar cold_remaining_s: how much longer the worker is slow after its start.
     """
 
     worker_id: str
@@ -306,6 +307,7 @@
     labels: frozenset[str] = frozenset()
     born_unix_ms: int = 0
     drain_remaining_s: float = 0
+    cold_remaining_s: float = 0
 
 
 @attrs.frozen(slots=True, kw_only=True)
--- a/packages/currantreach-jobs/src/currantreach_jobs/_settings.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_settings.py
@@ -47,6 +47,8 @@
     :ivar gang_wait_s: time after which the members of a gang give up.
     :ivar ended_job_retention_s: retention time of ended jobs.
     :ivar stop_timeout_s: time in which a process has to end.
+    :ivar evacuation_bound_s: time after the request of an evacuation from which
+        nothing may start in its failure domain, 0 for no bound.
     :ivar failure_domain: failure domain of this host.
     :ivar core_count: processor time of the host, in cores.
     :ivar link_mbps: bandwidth of the host's link.
@@ -65,6 +67,7 @@
     gang_wait_s: float = 3
     ended_job_retention_s: float = 150
     stop_timeout_s: float = 6
+    evacuation_bound_s: float = 0
     failure_domain: str = ''
     core_count: float = 1
     link_mbps: float = 1000
@@ -93,6 +96,17 @@
         )
         return _DELAY_STEP_S * max(0, -math.log2(max(capacity, _MIN_CAPACITY)))
 
+    @property
+    def max_evacuation_view_age_s(self) -> float:
+        """Return up to which age of its view a leader sends start orders.
+
+        The view shows every evacuation that was requested before it was read,
+        and an order may take effect until its call times out.
+        """
+        if not self.evacuation_bound_s:
+            return math.inf
+        return max(0, self.evacuation_bound_s - self.call_timeout_s)
+
     @property
     def predecessor_grace_s(self) -> float:
         """Return how long after an election an earlier leader may send orders.
--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -199,6 +199,25 @@
     assert attrs.asdict(settings)['store_address'] == '10.200.1.7:8182'
 
 
+def test_reads_the_bound_on_evacuations(tmp_path):
+    """Without the bound, the age of the view must not matter."""
+    path = tmp_path / 'settings.toml'
+    path.write_text(SETTINGS)
+    assert not read_settings(path).job_settings().evacuation_bound_s
+    path.write_text(
+        SETTINGS.replace('graceS', 'evacuateMs = 5000\ncoldSlack = 5\ngraceS')
+    )
+    settings = read_settings(path).job_settings()
+    assert settings.evacuation_bound_s == pytest.approx(5)
+
+
+def test_reads_how_long_a_worker_is_cold(encode):
+    """A report without the time is of a warm worker."""
+    assert not decode_report('i-1', encode(REPORT)).cold_remaining_s
+    cold = encode({**REPORT, 'coldRemainingMs': 2500})
+    assert decode_report('i-1', cold).cold_remaining_s == pytest.approx(2.5)
+
+
 @pytest.mark.parametrize('removed', ['ip = "10.1.0.17"', 'holdMaxMs = 4000'])
 def test_error_names_missing_settings(tmp_path, removed):
     """A missing field must be reported at the start, with its name."""
--- a/tests/adapter/test_odd_input.py
+++ b/tests/adapter/test_odd_input.py
@@ -47,6 +47,7 @@
     'sequence': 1,
     'born': 17,
     'drainRemainingMs': 0,
+    'coldRemainingMs': 0,
 }
 STEP = {
     'count': 4,
@@ -97,6 +98,7 @@
     'list_as_state': encode({**REPORT, 'state': []}),
     'object_as_state': encode({**REPORT, 'state': {'a': 1}}),
     'huge_drain': raw(REPORT, 'drainRemainingMs', str(HUGE)),
+    'huge_cold': raw(REPORT, 'coldRemainingMs', str(HUGE)),
     'huge_born': raw(REPORT, 'born', str(HUGE)),
     'long_born': raw(REPORT, 'born', '1' * 5000),
     'huge_cpu': raw(REPORT, 'capacity', '{"cpu": 1e300, "memMb": 1e300}'),
