Start nothing in evacuated failure domains

Starts in a domain that the operator has evacuated are lost with its workers. The leader marks these workers in each round, and reads the view of its daemon again before each attempt to send a start order, as orders wait for their record or are repeated. A gang with a member there is withdrawn. With a bound in the settings, nothing is sent while the view is too old. The load counts the remaining workers, and jobs of a service without any are refused.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from currantreach_jobs._evacuations import Evacuations
 from currantreach_jobs._memory import JobMemory
 from currantreach_jobs._model import EndKind, JobState
 from currantreach_jobs._occurrences import DueOccurrences
@@ -68,6 +69,7 @@
             moment counts, as it comes back.
         :ivar memory: estimated memory of the open jobs.
         :ivar durations: expected durations of tasks and speeds of workers.
+        :ivar evacuations: failure domains in which nothing may be started.
         :ivar pending_stops: runs to be stopped, not yet sent to their workers.
         :ivar jobs_loaded: set once all accepted jobs are loaded.
         :ivar count_retry: counts a retry, by its reason.
@@ -86,6 +88,7 @@
         self.pending_stops: list[Run] = []
         self.memory = JobMemory()
         self.durations = StageDurations()
+        self.evacuations = Evacuations(self.workers, clock)
         self._due_occurrences = DueOccurrences(self.memory)
         self.jobs_loaded = asyncio.Event()
         self._clock = clock
--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -83,7 +83,11 @@
         """Run one scheduling round: start all tasks that can start now."""
         now_s = self._clock.now_s()
         self._reservable_count = round(
-            _RESERVABLE_SHARE * len(self._cluster.workers),
+            _RESERVABLE_SHARE
+            * sum(
+                not worker.is_evacuated
+                for worker in self._cluster.workers.values()
+            ),
         )
         self._open_workers = {
             worker_id: worker
@@ -230,7 +234,7 @@
         max_count = len(workers) if is_boosted else self._reservable_count
         missing_count = _min_start_count(stage)
         reserved_workers: list[WorkerState] = []
-        for worker in sorted(workers, key=_free_cpu, reverse=True):
+        for worker in sorted(workers, key=_reservation_rank):
             if missing_count <= 0 or len(reserved_workers) >= max_count:
                 break
             if max_fitting_count(stage, worker) and _is_allowed(stage, worker):
@@ -371,5 +375,5 @@
     return stage.allowed.get(worker.report.worker_id, False)
 
 
-def _free_cpu(worker: WorkerState) -> int:
-    return worker.free.cpu_milli
+def _reservation_rank(worker: WorkerState) -> tuple[bool, int]:
+    return worker.is_cold, -worker.free.cpu_milli
--- a/packages/currantreach-jobs/src/currantreach_jobs/_job_scheduler.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_job_scheduler.py
@@ -125,6 +125,9 @@
         )
         self._committer.jobs = self.cluster.jobs
         self.cluster.memory.limit_bytes = coordinator.job_memory_bytes()
+        self.cluster.evacuations.follow(
+            dependencies.source, settings.max_evacuation_view_age_s
+        )
         self._sessions: dict[str, WorkerSession] = {}
         self.wait_monitor = WaitMonitor(self.cluster, clock, self._sessions)
         self._advice_dispatcher = AdviceDispatcher(
@@ -267,6 +270,7 @@
             self._wake.clear()
 
     def _run_round(self) -> None:
+        self.cluster.evacuations.update()
         wait_reason = self._global_wait_reason()
         if wait_reason is None:
             self._stage_scheduler.schedule()
@@ -279,9 +283,12 @@
             return WaitReason.NO_CONFIGURATION
         if self._committer.lag_s() > _MAX_WRITE_LAG_S:
             return WaitReason.RECORDS_UNWRITTEN
-        if self.leadership.can_start_runs(self._clock.now_s()):
-            return None
-        return WaitReason.NO_LEASE
+        now_s = self._clock.now_s()
+        if not self.leadership.can_start_runs(now_s):
+            return WaitReason.NO_LEASE
+        if not self.cluster.evacuations.is_view_current():
+            return WaitReason.EVACUATIONS_UNKNOWN
+        return None
 
     def _is_over(self) -> bool:
         now_s = self._clock.now_s()
--- a/packages/currantreach-jobs/src/currantreach_jobs/_load.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_load.py
@@ -8,6 +8,7 @@
 import attrs
 
 from currantreach_jobs._bounds import MAX_INTEGER
+from currantreach_jobs._evacuations import evacuated_services
 from currantreach_jobs._memory import accepted_bytes
 from currantreach_jobs._progress import resource_demand
 from currantreach_types import Resources
@@ -52,6 +53,7 @@
     :ivar largest_rooms: largest amounts of resources of a worker by service.
     :ivar free_bytes: memory that is left for further jobs.
     :ivar bytes_by_team: memory of the jobs of the teams that use much of it.
+    :ivar evacuated_services: services whose workers are all evacuated.
     """
 
     urgent_wait_s: float = 0
@@ -61,16 +63,15 @@
     largest_rooms: Mapping[str, Resources] = attrs.field(factory=dict)
     free_bytes: int = MAX_INTEGER
     bytes_by_team: Mapping[str, int] = attrs.field(factory=dict)
+    evacuated_services: frozenset[str] = frozenset()
 
 
 def measure_load(cluster: ClusterState, now_s: float) -> Load:
     """Return the current load of the fleet."""
-    # Workers that do not answer yet are included, as most of them are adopted
-    # soon after a takeover.
     core_count = sum(
         worker.report.room.cpu_milli / _MILLI
         for worker in cluster.workers.values()
-        if worker.is_listed and not worker.report.is_draining
+        if worker.is_in_service
     )
     urgent_core_s: float = 0
     share_core_s: float = 0
@@ -91,6 +92,7 @@
         bytes_by_team=memory.accepted.large_teams(
             memory.limit_bytes // _LARGE_TEAM_DIVISOR
         ),
+        evacuated_services=evacuated_services(cluster.workers.values()),
     )
     if not core_count:
         return load
--- a/packages/currantreach-jobs/src/currantreach_jobs/_messages.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_messages.py
@@ -63,6 +63,7 @@
     largest_rooms: dict[str, Resources] = attrs.field(factory=dict)
     free_bytes: int = attrs.field(default=MAX_INTEGER, validator=amount)
     bytes_by_team: dict[str, int] = attrs.field(factory=dict)
+    evacuated_services: tuple[str, ...] = ()
 
 
 @attrs.frozen(slots=True, kw_only=True)
--- a/packages/currantreach-jobs/src/currantreach_jobs/_submissions.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_submissions.py
@@ -74,6 +74,10 @@
 # Time after which a caller may retry when the open jobs take all memory for
 # them. It becomes free when jobs end, and most of them take that long.
 _MEMORY_RETRY_S = 15
+# Time after which a caller may retry when all workers of a service are
+# evacuated. Only the operator knows the end of an evacuation, so this bounds
+# how long after it the callers are back.
+_EVACUATED_RETRY_S = 5
 
 
 class Outcome(enum.Enum):
@@ -86,6 +90,7 @@
     NEVER_FITS = 'never_fits'
     OVERLOADED = 'overloaded'
     MEMORY_FULL = 'memory_full'
+    EVACUATED = 'evacuated'
     STORE_UNAVAILABLE = 'store_unavailable'
     UNKNOWN = 'unknown'
 
@@ -120,6 +125,12 @@
 )
 
 
+_EVACUATED = CallerResponse(
+    outcome=Outcome.EVACUATED,
+    retry_after_s=_EVACUATED_RETRY_S,
+)
+
+
 _UNREADABLE = CallerResponse(outcome=Outcome.UNKNOWN, is_record_unreadable=True)
 
 
@@ -178,6 +189,8 @@
             return await self._refuse(
                 job, CallerResponse(outcome=Outcome.NEVER_FITS)
             )
+        if job.queue.service in self.load.evacuated_services:
+            return await self._refuse(job, _EVACUATED)
         wait_s = wait_before_retry_s(self.load, job)
         if wait_s:
             return await self._refuse(
@@ -277,10 +290,12 @@
                 self._unreported = TeamBytes()
                 self.load = _load_of(reply)
             else:
-                # The open jobs are still there when a new leader decides.
+                # The open jobs are still there when a new leader decides, and
+                # so are the evacuations.
                 self.load = Load(
                     free_bytes=self.load.free_bytes,
                     bytes_by_team=self.load.bytes_by_team,
+                    evacuated_services=self.load.evacuated_services,
                 )
 
     def answer_load(self) -> LoadReply:
@@ -298,6 +313,7 @@
             largest_rooms=dict(load.largest_rooms),
             free_bytes=load.free_bytes,
             bytes_by_team=dict(load.bytes_by_team),
+            evacuated_services=tuple(load.evacuated_services),
         )
 
     async def _refuse(
@@ -529,6 +545,7 @@
         largest_rooms=reply.largest_rooms,
         free_bytes=reply.free_bytes,
         bytes_by_team=reply.bytes_by_team,
+        evacuated_services=frozenset(reply.evacuated_services),
     )
 
 
--- a/packages/currantreach-jobs/src/currantreach_jobs/_usage.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_usage.py
@@ -59,6 +59,7 @@
         started beside them.
     :ivar quarantined: runs of quarantined jobs, with their teams and steps.
     :ivar is_listed: whether the platform lists the worker.
+    :ivar is_evacuated: whether its failure domain is evacuated.
     :ivar reserved_by: stage for which capacity that becomes free is reserved.
     :ivar paused_until_s: end of the pause after a streak of failures.
     :ivar born_unix_ms: start time of the process that answers, 0 if it is not
@@ -79,6 +80,7 @@
     reserved_by: object | None = None
     reserved_until_s: float = 0
     is_listed: bool = True
+    is_evacuated: bool = False
 
     def add(self, run: Run) -> None:
         """Allocate the resources of a run."""
@@ -122,8 +124,30 @@
             return True
         return reported_unix_ms == self.born_unix_ms
 
+    @property
+    def is_cold(self) -> bool:
+        """Tell whether the worker reports that it is slow after its start."""
+        return self.report.cold_remaining_s > 0
+
+    @property
+    def is_in_service(self) -> bool:
+        """Tell whether the worker counts towards the capacity of the fleet.
+
+        One that does not answer yet counts, as most of them are adopted soon
+        after a takeover.
+        """
+        return (
+            self.is_listed
+            and not self.report.is_draining
+            and not self.is_evacuated
+        )
+
     def is_open(self, now_s: float) -> bool:
         """Tell whether any task may be started on the worker."""
+        return not self.is_evacuated and self.is_available(now_s)
+
+    def is_available(self, now_s: float) -> bool:
+        """Tell whether the worker is open, apart from any evacuation."""
         if not self.is_usable or not self.has_current_report:
             return False
         if not self.is_listed or self.orphans:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_wait_monitor.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_wait_monitor.py
@@ -47,6 +47,7 @@
     :cvar SILENT: its last call had no answer.
     :cvar UNADOPTED: its runs are not known, it is recorded as released, or the
         platform's report is of a former process.
+    :cvar EVACUATED: its failure domain is evacuated.
     :cvar DRAINING: it is about to leave.
     :cvar ORPHANS: it runs something of which no step is known.
     :cvar PAUSED: runs of several jobs in a row have failed on it.
@@ -56,6 +57,7 @@
     UNLISTED = 'unlisted'
     SILENT = 'silent'
     UNADOPTED = 'unadopted'
+    EVACUATED = 'evacuated'
     DRAINING = 'draining'
     ORPHANS = 'orphans'
     PAUSED = 'paused'
@@ -69,12 +71,29 @@
     :ivar free_count: tasks on workers not known to be forbidden.
     :ivar reserved_count: tasks on workers that are reserved for another stage.
     :ivar forbidden_count: tasks on workers that the placement service forbids.
+    :ivar evacuated_count: tasks on evacuated workers that are not forbidden.
+    :ivar has_evacuated: whether the service of the stage has evacuated workers.
     """
 
     open_count: int = 0
     free_count: int = 0
     reserved_count: int = 0
     forbidden_count: int = 0
+    evacuated_count: int = 0
+    has_evacuated: bool = False
+
+    def explain(self, needed_count: int) -> WaitReason:
+        """Return why a number of tasks finds no capacity."""
+        fitting = self.free_count + self.reserved_count
+        if self.free_count < needed_count <= fitting:
+            return WaitReason.RESERVED
+        if fitting < needed_count <= fitting + self.forbidden_count:
+            return WaitReason.NOT_ALLOWED
+        if fitting < needed_count <= fitting + self.evacuated_count:
+            return WaitReason.EVACUATED
+        if self.has_evacuated and not self.open_count:
+            return WaitReason.EVACUATED
+        return WaitReason.NO_ROOM
 
 
 class WaitMonitor:
@@ -188,19 +207,14 @@
         needed_count = stage.step.task_count if stage.step.is_gang else 1
         found = _FittingCounts()
         for worker in self._cluster.workers.values():
-            if worker.is_open(now_s) and meets_requirements(stage, worker):
+            if meets_requirements(stage, worker):
                 _add_fitting(found, stage, worker, now_s)
-        wait_reason = WaitReason.NO_ROOM
-        fitting = found.free_count + found.reserved_count
-        if found.free_count < needed_count <= fitting:
-            wait_reason = WaitReason.RESERVED
-        elif fitting < needed_count <= fitting + found.forbidden_count:
-            wait_reason = WaitReason.NOT_ALLOWED
-        return wait_reason, {
+        return found.explain(needed_count), {
             'wanted': needed_count,
             'fitting': found.free_count,
             'reserved': found.reserved_count,
             'forbidden': found.forbidden_count,
+            'evacuated': found.evacuated_count,
             'open': found.open_count,
             'workers': len(self._cluster.workers),
         }
@@ -212,10 +226,17 @@
     worker: WorkerState,
     now_s: float,
 ) -> None:
-    """Add the tasks of a stage that fit on a worker."""
-    found.open_count += 1
+    """Add the tasks of a stage that fit on a worker, if it is available."""
+    found.has_evacuated |= worker.is_evacuated
+    if not worker.is_available(now_s):
+        return
     count = fitting_count(stage, worker)
-    if stage.allowed.get(worker.report.worker_id) is False:
+    is_forbidden = stage.allowed.get(worker.report.worker_id) is False
+    if worker.is_evacuated:
+        found.evacuated_count += 0 if is_forbidden else count
+        return
+    found.open_count += 1
+    if is_forbidden:
         found.forbidden_count += count
     elif worker.is_reserved_for_other(stage, now_s):
         found.reserved_count += count
@@ -259,6 +280,7 @@
         (not is_silent, WorkerAvailability.SILENT),
         (is_adopted and worker.is_usable, WorkerAvailability.UNADOPTED),
         (worker.has_current_report, WorkerAvailability.UNADOPTED),
+        (not worker.is_evacuated, WorkerAvailability.EVACUATED),
         (not worker.report.is_draining, WorkerAvailability.DRAINING),
         (not worker.orphans, WorkerAvailability.ORPHANS),
         (now_s >= worker.paused_until_s, WorkerAvailability.PAUSED),
--- a/packages/currantreach-jobs/src/currantreach_jobs/_wait_reasons.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_wait_reasons.py
@@ -21,13 +21,18 @@
         free capacity.
     :cvar RESERVED: only workers that are reserved for another stage have free
         capacity.
+    :cvar EVACUATED: only workers in evacuated failure domains have free
+        capacity, or no others exist. A start order is withdrawn for the same
+        reason.
     :cvar NO_ROOM: no usable worker was found with enough free capacity. The
-        wait monitor replaces it by ``RESERVED`` or ``NOT_ALLOWED`` where one of
-        them applies.
+        wait monitor replaces it by ``RESERVED``, ``NOT_ALLOWED`` or
+        ``EVACUATED`` where one of them applies.
     :cvar RECORDS_UNWRITTEN: the records of other starts are not stored yet.
     :cvar RECORD_REJECTED: the store has rejected the record of the job.
     :cvar NO_CONFIGURATION: the limits of the teams are not known yet.
     :cvar NO_LEASE: the leader's lease may have expired.
+    :cvar EVACUATIONS_UNKNOWN: the store has not answered the watch on the
+        evacuations for so long that a new one may be binding already.
     """
 
     HELD = 'held'
@@ -38,8 +43,10 @@
     NO_ADVISER_FREE = 'no_adviser_free'
     NOT_ALLOWED = 'not_allowed'
     RESERVED = 'reserved'
+    EVACUATED = 'evacuated'
     NO_ROOM = 'no_room'
     RECORDS_UNWRITTEN = 'records_unwritten'
     RECORD_REJECTED = 'record_rejected'
     NO_CONFIGURATION = 'no_configuration'
     NO_LEASE = 'no_lease'
+    EVACUATIONS_UNKNOWN = 'evacuations_unknown'
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -462,12 +462,11 @@
         )
         # The deadline is a reading of the worker's clock, which a silent worker
         # may have restarted.
-        return (
-            is_wanted
-            and not self._is_silent
-            and self._can_send_starts()
-            and self._leadership.can_start_runs(now_s)
-        )
+        if not is_wanted or self._is_silent or not self._can_send_starts():
+            return False
+        if not self._leadership.can_start_runs(now_s):
+            return False
+        return self._cluster.evacuations.obstacle_to_start(run) is None
 
     def _can_send_starts(self) -> bool:
         """Tell whether the worker refuses stray orders and is not released."""
@@ -480,7 +479,8 @@
     ) -> None:
         """Record that a start order got no answer."""
         if not is_outcome_unknown:
-            self._cluster.abandon_start(run, 'unreachable')
+            obstacle = self._cluster.evacuations.obstacle_to_start(run)
+            self._cluster.abandon_start(run, obstacle or 'unreachable')
             return
         log_event(
             'start_unsure',
--- a/packages/currantreach-jobs/tests/conftest.py
+++ b/packages/currantreach-jobs/tests/conftest.py
@@ -6,6 +6,7 @@
 import collections
 import itertools
 import random
+import types
 
 import attrs
 import logbook
@@ -62,6 +63,7 @@
 LONG_WORK_S = 40
 WORKER_AGE_S = 60
 GANG_WAIT_S = 3
+EVACUATION_BOUND_S = 5
 ROOM = Resources(cpu_milli=16000, memory_mib=32768)
 QUEUE = Queue(
     name='lookups',
@@ -350,6 +352,7 @@
         self.stop_s = STOP_S
         self.room = ROOM
         self.is_draining = False
+        self.failure_domain = 'east'
         self.process_count = 0
         self.restart()
 
@@ -373,7 +376,7 @@
             worker_id=self.worker_id,
             address=self.worker_id,
             service='passes',
-            failure_domain='east',
+            failure_domain=self.failure_domain,
             is_draining=self.is_draining,
             room=self.room,
             born_unix_ms=self.born,
@@ -583,6 +586,11 @@
     workers that got more runs than they have resources for, and
     ``repeated_tasks`` tasks that were started after an acknowledged end.
     A report of a later process of a worker is shown after ``report_delay_s``.
+    ``evacuation_requests`` has the times at which the store acknowledged the
+    evacuation of a domain, ``shown_evacuations`` is what the daemons know of
+    them since ``evacuations_shown_at_s`` (``None`` for the present), and
+    ``evacuated_starts`` lists workers with a start in an evacuated domain after
+    the bound on it.
     """
 
     def __init__(self, loop):
@@ -599,6 +607,10 @@
         self.repeated_tasks = []
         self.report_delay_s = 0
         self.shown_reports = {}
+        self.evacuation_requests = {}
+        self.evacuations_shown_at_s = None
+        self.shown_evacuations = frozenset()
+        self.evacuated_starts = []
         self.allowed = None
         self.advice_calls = []
         self.advice_faults = []
@@ -610,11 +622,21 @@
             teams={'orchard': Team(name='orchard')},
         )
 
-    def add(self, worker_id, **options):
+    def add(self, worker_id, failure_domain='east', **options):
         """Add a worker."""
         self.workers[worker_id] = FakeWorker(self, worker_id, **options)
+        self.workers[worker_id].failure_domain = failure_domain
         return self.workers[worker_id]
 
+    def evacuate(self, *domains, is_shown=True):
+        """Evacuate some failure domains, and no others."""
+        self.evacuation_requests = {
+            domain: self.evacuation_requests.get(domain, self.clock.now_s())
+            for domain in domains
+        }
+        if is_shown:
+            self.shown_evacuations = frozenset(domains)
+
     @property
     def reports(self):
         now_s = self.clock.now_s()
@@ -638,6 +660,16 @@
     def last_answer_at_s(self):
         return self.clock.now_s()
 
+    @property
+    def evacuated_domains(self):
+        return self.shown_evacuations
+
+    @property
+    def evacuations_read_at_s(self):
+        if self.evacuations_shown_at_s is None:
+            return self.clock.now_s()
+        return self.evacuations_shown_at_s
+
     async def advise(self, job_id, occurrence, step, worker_ids, timeout_s):
         self.advice_calls.append((job_id, tuple(worker_ids)))
         await asyncio.sleep(0.5)
@@ -665,6 +697,11 @@
     def record_start(self, worker, order):
         """Record a start and check it against all runs of its task."""
         self.starts.append((worker.worker_id, order))
+        requested_at_s = self.evacuation_requests.get(
+            worker.failure_domain, self.clock.now_s()
+        )
+        if self.clock.now_s() > requested_at_s + EVACUATION_BOUND_S:
+            self.evacuated_starts.append(worker.worker_id)
         taken = sum(
             (self.resources_of(task) for task, _ in worker.running),
             Resources(),
@@ -937,6 +974,7 @@
             assert not fleet.overlaps
             assert not fleet.repeated_tasks
             assert not fleet.overcommitted
+            assert not fleet.evacuated_starts
 
     return run
 
@@ -996,6 +1034,19 @@
     return ADVISED
 
 
+@pytest.fixture
+def make_source():
+    """Return a function that makes a source without evacuations."""
+
+    def make(clock):
+        return types.SimpleNamespace(
+            evacuated_domains=frozenset(),
+            evacuations_read_at_s=clock.now_s(),
+        )
+
+    return make
+
+
 @pytest.fixture
 def make_offline(reports):
     """Return a function that makes an offline scheduler with two workers."""
--- a/packages/currantreach-jobs/tests/test_waiting.py
+++ b/packages/currantreach-jobs/tests/test_waiting.py
@@ -229,6 +229,7 @@
         ({'is_usable': False}, 'unadopted'),
         ({'orphans': {('task', 1)}}, 'orphans'),
         ({'paused_until_s': 999}, 'paused'),
+        ({'is_evacuated': True}, 'evacuated'),
     ],
 )
 def test_state_of_a_worker(offline, changes, state):
--- a/packages/currantreach-jobs/tests/test_worker_session.py
+++ b/packages/currantreach-jobs/tests/test_worker_session.py
@@ -22,7 +22,10 @@
 from currantreach_jobs._worker_session import WorkerSession
 from currantreach_telemetry import Metrics
 from currantreach_types import ManualClock
-from currantreach_types.errors import OutcomeUnknownError
+from currantreach_types.errors import (
+    OutcomeUnknownError,
+    WorkerUnavailableError,
+)
 
 
 class ScriptedClient:
@@ -33,9 +36,15 @@
         self.stops = []
         self.holds = []
         self.replies = []
+        self.start_fault = None
+        self.on_start = None
 
     async def start(self, order):
         self.starts.append(order)
+        if self.on_start is not None:
+            self.on_start()
+        if self.start_fault is not None:
+            raise self.start_fault
         return StartAnswer.STARTED
 
     async def stop(self, task, attempt, token):
@@ -497,3 +506,129 @@
         assert harness.cluster.pop_pending_stops() == [run]
     else:
         assert stage.waiting == {0}
+
+
+@pytest.fixture
+def source(harness, make_source):
+    """Return the source of evacuations that the session follows."""
+    found = make_source(harness.clock)
+    harness.cluster.evacuations.follow(found, 4)
+    return found
+
+
+async def test_start_that_waited_for_its_record_is_withdrawn(
+    harness, job, source
+):
+    """A run that was placed before an evacuation must not be started later.
+
+    Its order waits for the record for up to two seconds, without a round.
+    """
+    harness.cluster.add_job(job('a' * 16))
+    stage = harness.cluster.jobs['a' * 16].stages[0, 0]
+    run = harness.cluster.create_run(stage, 0, 'w1', 1)
+    harness.written.clear()
+    harness.session.start(run, '')
+    await asyncio.sleep(0)
+    source.evacuated_domains = frozenset(('east',))
+    harness.written.set()
+    await asyncio.sleep(0.01)
+    assert not harness.client.starts
+    assert stage.waiting == {0}
+    assert not harness.cluster.workers['w1'].runs
+    assert b'reason="start_evacuated"' in harness.cluster._metrics.render()
+
+
+async def test_start_is_not_repeated_in_an_evacuated_domain(
+    harness, job, source
+):
+    """A start that was not delivered must not be sent again there."""
+    harness.cluster.add_job(job('b' * 16))
+    stage = harness.cluster.jobs['b' * 16].stages[0, 0]
+    run = harness.cluster.create_run(stage, 0, 'w1', 1)
+    harness.client.start_fault = WorkerUnavailableError('not sent')
+    harness.client.on_start = lambda: setattr(
+        source, 'evacuated_domains', frozenset(('east',))
+    )
+    harness.session.start(run, '')
+    await asyncio.sleep(0.5)
+    assert len(harness.client.starts) == 1
+    assert stage.waiting == {0}
+
+
+async def test_unanswered_start_in_an_evacuated_domain_is_stopped(
+    harness, job, source
+):
+    """A start that may still arrive must be prevented, not repeated."""
+    harness.cluster.add_job(job('c' * 16))
+    stage = harness.cluster.jobs['c' * 16].stages[0, 0]
+    run = harness.cluster.create_run(stage, 0, 'w1', 1)
+    harness.client.start_fault = OutcomeUnknownError('no answer')
+    harness.client.on_start = lambda: setattr(
+        source, 'evacuated_domains', frozenset(('east',))
+    )
+    harness.session.start(run, '')
+    await asyncio.sleep(0.01)
+    assert len(harness.client.starts) == 1
+    assert harness.cluster.pop_pending_stops() == [run]
+
+
+async def test_half_placed_gang_is_withdrawn(harness, job, reports, source):
+    """The last member would start a gang whose others are evacuated.
+
+    Its own worker is in another failure domain.
+    """
+    west = attrs.evolve(reports[1], failure_domain='west')
+    harness.cluster.add_worker(west)
+    harness.cluster.add_job(job('d' * 16, count=2, is_gang=True))
+    stage = harness.cluster.jobs['d' * 16].stages[0, 0]
+    first = harness.cluster.create_run(stage, 0, 'w2', 1)
+    last = harness.cluster.create_run(stage, 1, 'w1', 1)
+    harness.cluster.confirm_start(first)
+    harness.written.clear()
+    harness.session.start(last, '')
+    await asyncio.sleep(0)
+    source.evacuated_domains = frozenset(('west',))
+    harness.written.set()
+    await asyncio.sleep(0.01)
+    assert not harness.client.starts
+    assert harness.cluster.pop_pending_stops() == [first]
+    assert stage.waiting == {1}
+
+
+async def test_task_beside_evacuated_ones_is_started(
+    harness, job, reports, source
+):
+    """Tasks that are no gang start alone, so the others do not matter."""
+    west = attrs.evolve(reports[1], failure_domain='west')
+    harness.cluster.add_worker(west)
+    harness.cluster.add_job(job('e' * 16, count=2))
+    stage = harness.cluster.jobs['e' * 16].stages[0, 0]
+    harness.cluster.create_run(stage, 0, 'w2', 1)
+    last = harness.cluster.create_run(stage, 1, 'w1', 1)
+    source.evacuated_domains = frozenset(('west',))
+    harness.session.start(last, '')
+    await asyncio.sleep(0.01)
+    assert len(harness.client.starts) == 1
+
+
+async def test_start_is_withheld_while_evacuations_are_unknown(
+    harness, job, source
+):
+    """A leader that is cut off from the requests must not go on starting.
+
+    The view may become too old while an order waits for its record.
+    """
+    harness.cluster.add_job(job('f' * 16))
+    stage = harness.cluster.jobs['f' * 16].stages[0, 0]
+    run = harness.cluster.create_run(stage, 0, 'w1', 1)
+    source.evacuations_read_at_s = harness.clock.now_s() - 4.01
+    harness.session.start(run, '')
+    await asyncio.sleep(0.01)
+    assert not harness.client.starts
+    metrics = harness.cluster._metrics.render()
+    assert b'reason="start_evacuations_unknown"' in metrics
+    source.evacuations_read_at_s = harness.clock.now_s() - 3.99
+    second = harness.cluster.create_run(stage, 0, 'w1', 2)
+    harness.session.start(second, '')
+    await asyncio.sleep(0.01)
+    assert len(harness.client.starts) == 1
