Use cold workers after warm ones

The workers of a failure domain come back cold after an evacuation, and best fit placed tasks on them while warm ones were free. Placement, advice calls and the choice of a rack now take warm workers first.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
@@ -43,8 +43,8 @@
     :param workers: workers on which anything may be started.
     :param is_boosted: whether capacity reserved for other stages may be used.
 
-    Workers with less free processor time come first (best fit), so that
-    emptier ones stay available for large tasks and gangs.
+    Cold workers come last. Workers with less free processor time come first
+    (best fit), so that emptier ones stay available for large tasks and gangs.
     """
     fitting = [
         worker
@@ -54,6 +54,7 @@
     rack = stage.step.data_rack
     fitting.sort(
         key=lambda worker: (
+            worker.is_cold,
             bool(rack) and rack not in worker.report.labels,
             worker.free.cpu_milli,
         ),
@@ -107,7 +108,7 @@
         tasks do not all fit.
     """
     if stage.step.is_rack_local:
-        workers = _single_rack_first(stage, workers)
+        workers = _warm_rack_first(stage, workers)
     indices = sorted(stage.waiting)[:max_count]
     assigned: list[tuple[int, WorkerState]] = []
     for worker in workers:
@@ -181,7 +182,7 @@
             missing -= max_fitting_count(stage, worker)
         else:
             unknown.append(worker)
-    unknown.sort(key=lambda worker: worker.free.cpu_milli, reverse=True)
+    unknown.sort(key=lambda worker: (worker.is_cold, -worker.free.cpu_milli))
     queried: list[WorkerState] = []
     for candidate in unknown:
         if missing <= 0:
@@ -207,10 +208,13 @@
     )
 
 
-def _query_rank(stage: Stage, worker: WorkerState) -> tuple[bool, bool, int]:
+def _query_rank(
+    stage: Stage, worker: WorkerState
+) -> tuple[bool, bool, bool, int]:
     count = fitting_count(stage, worker)
     return (
         not count,
+        worker.is_cold,
         worker.report.worker_id not in stage.allowed,
         -count if stage.step.is_gang else 0,
     )
@@ -230,6 +234,19 @@
     return not worker.has_colocation_conflict(stage.step)
 
 
+def _warm_rack_first(
+    stage: Stage,
+    workers: Sequence[WorkerState],
+) -> Sequence[WorkerState]:
+    """Put a single rack first, among the warm workers if these suffice."""
+    warm = [worker for worker in workers if not worker.is_cold]
+    count = sum(fitting_count(stage, worker) for worker in warm)
+    if count < len(stage.waiting):
+        return _single_rack_first(stage, workers)
+    cold = [worker for worker in workers if worker.is_cold]
+    return [*_single_rack_first(stage, warm), *cold]
+
+
 def _single_rack_first(
     stage: Stage,
     workers: Sequence[WorkerState],
