--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -90,7 +90,12 @@
     def schedule(self) -> None:
         """Run one scheduling round: start all tasks that can start now."""
         now_s = self._clock.now_s()
-        self._reservations.begin_round(len(self._cluster.workers))
+        self._reservations.begin_round(
+            sum(
+                not worker.is_evacuated
+                for worker in self._cluster.workers.values()
+            )
+        )
         self._find_open_workers(now_s)
         ready_stages = list(self._cluster.ready_stages())
         update_paths(ready_stages, self._cluster.durations, now_s)
--- a/packages/currantreach-jobs/src/currantreach_jobs/_load.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_load.py
@@ -10,6 +10,7 @@
 import attrs
 
 from currantreach_jobs._bounds import MAX_INTEGER
+from currantreach_jobs._evacuations import evacuated_services
 from currantreach_jobs._memory import accepted_bytes
 from currantreach_jobs._progress import resource_demand
 from currantreach_jobs._worker_ranking import read_slowdowns
@@ -59,6 +60,7 @@
     :ivar largest_rooms: largest amounts of resources of a worker by service.
     :ivar free_bytes: memory that is left for further jobs.
     :ivar bytes_by_team: memory of the jobs of the teams that use much of it.
+    :ivar evacuated_services: services whose workers are all evacuated.
     """
 
     urgent_wait_s: float = 0
@@ -68,6 +70,7 @@
     largest_rooms: Mapping[str, Resources] = attrs.field(factory=dict)
     free_bytes: int = MAX_INTEGER
     bytes_by_team: Mapping[str, int] = attrs.field(factory=dict)
+    evacuated_services: frozenset[str] = frozenset()
 
 
 def measure_load(cluster: ClusterState, now_s: float) -> Load:
@@ -92,6 +95,7 @@
         bytes_by_team=memory.accepted.large_teams(
             memory.limit_bytes // _LARGE_TEAM_DIVISOR
         ),
+        evacuated_services=evacuated_services(cluster.workers.values()),
     )
     if not core_count:
         return load
@@ -143,12 +147,10 @@
 
 def _usual_core_count(cluster: ClusterState) -> float:
     """Return how many cores of usual speed do as much as those of the fleet."""
-    # Workers that do not answer yet are included, as most of them are adopted
-    # soon after a takeover.
     listed = {
         worker_id: worker.report.room.cpu_milli / _MILLI
         for worker_id, worker in cluster.workers.items()
-        if worker.is_listed and not worker.report.is_draining
+        if worker.is_in_service
     }
     slowdowns = read_slowdowns(listed, cluster.durations)
     return sum(
--- a/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
@@ -51,8 +51,9 @@
         is reserved for a later time.
     :param free_share: measure of the free capacity of a worker.
 
-    Among equally fast workers, those with less free capacity come first (best
-    fit), so that emptier ones stay available for large tasks and gangs.
+    Cold workers come last. Among equally fast workers, those with less free
+    capacity come first (best fit), so that emptier ones stay available for
+    large tasks and gangs.
     """
     # Each round runs this for most pairs of worker and stage, so the usual case
     # of a worker without a reservation needs no further call.
@@ -83,6 +84,7 @@
     rack = step.data_rack
     if rack:
         fitting.sort(key=lambda worker: rack not in worker.report.labels)
+    fitting.sort(key=_is_cold)
     return fitting
 
 
@@ -136,7 +138,7 @@
     if stage.step.is_gang and speed_order is not None:
         workers = _gang_workers(stage, workers, speed_order)
     elif stage.step.is_rack_local:
-        workers = _single_rack_first(stage, workers)
+        workers = _warm_rack_first(stage, workers)
     indices = sorted(stage.waiting)[:max_count]
     assigned: list[tuple[int, WorkerState]] = []
     for worker in workers:
@@ -209,7 +211,7 @@
             missing -= max_fitting_count(stage, worker)
         elif max_fitting_count(stage, worker):
             unknown.append(worker)
-    unknown.sort(key=lambda worker: worker.free.cpu_milli, reverse=True)
+    unknown.sort(key=lambda worker: (worker.is_cold, -worker.free.cpu_milli))
     fitting = [max_fitting_count(stage, worker) for worker in unknown]
     count = _unknown_count(stage, fitting, allowed_fraction, missing)
     return unknown[:count]
@@ -291,7 +293,7 @@
     stage: Stage,
     worker: WorkerState,
     speed_order: SpeedOrder | None,
-) -> tuple[bool, bool, int, int]:
+) -> tuple[bool, bool, bool, int, int]:
     count = fitting_count(stage, worker)
     worker_id = worker.report.worker_id
     speed_rank = 0
@@ -299,6 +301,7 @@
         speed_rank = speed_order.rank(worker_id)
     return (
         not count,
+        worker.is_cold,
         worker_id not in stage.allowed,
         speed_rank,
         -count if stage.step.is_gang else 0,
@@ -352,6 +355,23 @@
     return [worker for worker in workers if rack in worker.report.labels]
 
 
+def _is_cold(worker: WorkerState) -> bool:
+    return worker.is_cold
+
+
+def _warm_rack_first(
+    stage: Stage,
+    workers: Sequence[WorkerState],
+) -> Sequence[WorkerState]:
+    """Put a single rack first, among the warm workers if these suffice."""
+    warm = [worker for worker in workers if not worker.is_cold]
+    count = sum(fitting_count(stage, worker) for worker in warm)
+    if count < len(stage.waiting):
+        return _single_rack_first(stage, workers)
+    cold = [worker for worker in workers if worker.is_cold]
+    return [*_single_rack_first(stage, warm), *cold]
+
+
 def _single_rack_first(
     stage: Stage,
     workers: Sequence[WorkerState],
--- a/packages/currantreach-jobs/src/currantreach_jobs/_reservations.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_reservations.py
@@ -136,7 +136,7 @@
     """Return the emptiest workers that fit a stage, none if too few do."""
     missing_count = min_start_count(stage)
     chosen: list[WorkerState] = []
-    for worker in sorted(workers, key=_free_cpu, reverse=True):
+    for worker in sorted(workers, key=_reservation_rank):
         if missing_count <= 0 or len(chosen) >= max_workers:
             break
         count = max_fitting_count(stage, worker)
@@ -146,5 +146,5 @@
     return [] if missing_count > 0 else chosen
 
 
-def _free_cpu(worker: WorkerState) -> int:
-    return worker.free.cpu_milli
+def _reservation_rank(worker: WorkerState) -> tuple[bool, int]:
+    return worker.is_cold, -worker.free.cpu_milli
