Log why workers were chosen, and describe placement by duration

Cause: an operator could not see whether a late job ran on slow workers, or why. Change: stage_started has the slowdowns of its workers, the slowdown up to which the job is on time, the expected duration with its tail, and the time until the latest start.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -292,7 +292,9 @@
             self._launch(run, code)
             if worker.reserved_by is stage:
                 worker.reserved_by = None
-        waited_s = self._clock.now_s() - stage.job_progress.accepted_at_s
+        now_s = self._clock.now_s()
+        waited_s = now_s - stage.job_progress.accepted_at_s
+        worker_ids = {worker.report.worker_id for _, worker in assigned}
         self._metrics.record_wait(stage.job_progress.job.queue.name, waited_s)
         log_event(
             'stage_started',
@@ -300,10 +302,9 @@
             step=stage.step_number,
             tasks=len(assigned),
             left=len(stage.waiting),
-            workers=','.join(
-                sorted({worker.report.worker_id for _, worker in assigned}),
-            ),
+            workers=','.join(sorted(worker_ids)),
             waited_s=round(waited_s, 3),
+            **self._speeds.log_fields(stage, worker_ids, now_s),
         )
 
     def _ask(
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_ranking.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_ranking.py
@@ -115,10 +115,30 @@
     """
 
     level_by_worker: Mapping[str, int] = attrs.field(factory=dict)
+    slowdown_by_worker: Mapping[str, float] = attrs.field(factory=dict)
     slowdown_by_level: Mapping[int, float] = attrs.field(factory=dict)
     is_uniform: bool = True
     valid_until_s: float = 0
 
+    def log_fields(
+        self,
+        stage: Stage,
+        worker_ids: Iterable[str],
+        now_s: float,
+    ) -> Mapping[str, object]:
+        """Return log fields that show why workers were chosen for a stage."""
+        slowdowns = [
+            self.slowdown_by_worker.get(worker_id, 1)
+            for worker_id in worker_ids
+        ]
+        return {
+            'slowdown': f'{min(slowdowns):.2f}-{max(slowdowns):.2f}',
+            'on_time_slowdown': round(_max_slowdown(stage, now_s), 2),
+            'mean_s': round(stage.mean_s, 3),
+            'tail_s': round(stage.tail_s, 3),
+            'slack_s': round(stage.latest_start_s() - now_s, 3),
+        }
+
     def order_for(
         self,
         stage: Stage,
@@ -173,6 +193,7 @@
     slowdowns[0] = slowdowns[0] or [1]
     return WorkerSpeeds(
         level_by_worker=level_by_worker,
+        slowdown_by_worker=slowdown_by_worker,
         slowdown_by_level={
             level: sum(slowdowns[level]) / len(slowdowns[level])
             for level in sorted(slowdowns, reverse=True)
--- a/packages/currantreach-jobs/tests/test_worker_ranking.py
+++ b/packages/currantreach-jobs/tests/test_worker_ranking.py
@@ -385,3 +385,28 @@
         job('gang', 9, queue=PROMPT, needed=WHOLE, estimate_s=1, is_gang=True)
     )
     assert 'u9' in workers_of()['gang']
+
+
+def test_start_is_logged_with_its_reasons(
+    fleet, durations, job, log, workers_of
+):
+    """An operator must see why a late job ran on slow workers."""
+    durations.lengths_s['prompt'] = (0.8, 1.2)
+    for name in ('f1', 'f2', 'f3', 'f4', 'u2', 'u3', 'u4'):
+        fleet.cluster.workers[name].paused_until_s = 10**9
+    made = job('prompt', 8, queue=PROMPT, needed=QUARTER, estimate_s=0.85)
+    # The job does not get older by the milliseconds that the test takes.
+    later_ms = made.accepted_unix_ms + 60_000
+    fleet.cluster.add_job(attrs.evolve(made, accepted_unix_ms=later_ms))
+    assert _letters(workers_of()['prompt']) == {'u', 's'}
+    lines = [each for each in log.formatted_records if 'stage_started' in each]
+    assert len(lines) == 1
+    # The objective is 1.45 s.
+    for field in (
+        ' slowdown=1.00-1.67 ',
+        ' on_time_slowdown=1.21 ',
+        ' mean_s=0.8 ',
+        ' tail_s=1.2 ',
+        ' slack_s=0.65',
+    ):
+        assert field in lines[0]
