--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -320,6 +320,7 @@
                 worker.reserved_by = None
         now_s = self._clock.now_s()
         waited_s = now_s - stage.job_progress.accepted_at_s
+        worker_ids = {worker.report.worker_id for _, worker in assigned}
         self._metrics.record_wait(stage.job_progress.job.queue.name, waited_s)
         log_event(
             'stage_started',
@@ -332,8 +333,7 @@
                 for _, worker in assigned
                 if worker.is_reserved_for_other(stage, now_s)
             ),
-            workers=','.join(
-                sorted({worker.report.worker_id for _, worker in assigned}),
-            ),
+            workers=','.join(sorted(worker_ids)),
             waited_s=round(waited_s, 3),
+            **self._speeds.log_fields(stage, worker_ids, now_s),
         )
