Limit the wait for a run beyond its expected end

A gang whose allowed workers were expected to be free within the time of a call did not search others, and went on waiting for a run that took several times as long as expected. It now searches after a call and 0.3 s.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_capacity_forecast.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_capacity_forecast.py
@@ -127,18 +127,14 @@
             workers=_fewest(stage, gains[:last], needed_count, max_workers),
         )
 
-    def ends_s(self, runs: Iterable[Run], now_s: float) -> float | None:
-        """Return when the last of some runs is expected to end.
-
-        :returns: nothing if there is no estimate for one of them.
-        """
-        latest_s = now_s
-        for run in runs:
-            end_s = self._end_s(run, now_s)
-            if end_s is None:
-                return None
-            latest_s = max(latest_s, end_s)
-        return latest_s
+    def end_s(self, run: Run, now_s: float) -> float | None:
+        """Return when a run is expected to end, if that is known."""
+        durations = self._cluster.durations
+        mean_s = durations.task(run.stage).mean_s
+        if run.stage.step.is_lasting or not mean_s:
+            return None
+        remaining_s = durations.remaining_s(run, now_s)
+        return now_s + max(remaining_s, _OVERDUE_FRACTION * mean_s)
 
     def _gains(
         self, stage: Stage, worker: WorkerState, now_s: float
@@ -184,21 +180,12 @@
         """Return the runs that are expected to end, in order of their ends."""
         ends: list[tuple[float, Run]] = []
         for run in worker.running():
-            end_s = self._end_s(run, now_s)
+            end_s = self.end_s(run, now_s)
             if end_s is not None:
                 ends.append((end_s, run))
         ends.sort(key=itemgetter(0))
         return ends
 
-    def _end_s(self, run: Run, now_s: float) -> float | None:
-        """Return when a run is expected to end, if that is known."""
-        durations = self._cluster.durations
-        mean_s = durations.task(run.stage).mean_s
-        if run.stage.step.is_lasting or not mean_s:
-            return None
-        remaining_s = durations.remaining_s(run, now_s)
-        return now_s + max(remaining_s, _OVERDUE_FRACTION * mean_s)
-
 
 def _fewest(
     stage: Stage,
--- a/packages/currantreach-jobs/src/currantreach_jobs/_lookahead.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_lookahead.py
@@ -13,6 +13,7 @@
 
     from currantreach_jobs._capacity_forecast import ForecastCalculator
     from currantreach_jobs._cluster_state import ClusterState
+    from currantreach_jobs._model import AdviceConfig
     from currantreach_jobs._progress import JobProgress, Run, Stage
     from currantreach_jobs._stage_advice import StageAdvice
     from currantreach_jobs._usage import WorkerState
@@ -63,22 +64,26 @@
 
     def _later_stages(self, now_s: float) -> Iterator[Stage]:
         """Yield the stages whose earlier steps are about to end."""
+        # Whether daemons are idle is found out once for each queue, as it takes
+        # longer than all other checks of a job.
+        has_spare: dict[AdviceConfig, bool] = {}
         for progress in self._cluster.open_jobs.values():
-            if self._may_ask(progress):
-                yield from (
-                    stage
-                    for stage in progress.stages.values()
-                    if self._is_due(stage, now_s)
-                )
-
-    def _may_ask(self, progress: JobProgress) -> bool:
-        """Tell whether calls for later steps of a job may be made."""
-        if len(progress.job.steps) == 1 or not progress.has_started:
-            return False
-        advice = progress.job.queue.advice
-        if advice is None or progress.is_unwritable:
-            return False
-        return self._stage_advice.has_spare(advice)
+            if len(progress.job.steps) == 1 or not progress.has_started:
+                continue
+            advice = progress.job.queue.advice
+            if advice is None or progress.is_unwritable:
+                continue
+            if advice not in has_spare:
+                has_spare[advice] = self._stage_advice.has_spare(advice)
+            if has_spare[advice]:
+                yield from self._due_stages(progress, now_s)
+
+    def _due_stages(
+        self, progress: JobProgress, now_s: float
+    ) -> Iterator[Stage]:
+        for stage in progress.stages.values():
+            if self._is_due(stage, now_s):
+                yield stage
 
     def _is_due(self, stage: Stage, now_s: float) -> bool:
         """Tell whether a call for a stage is to be made now."""
@@ -90,11 +95,15 @@
         runs = _earlier_runs(stage.job_progress, stage)
         if not runs:
             return False
-        end_s = self._forecasts.ends_s(runs, now_s)
-        if end_s is None:
-            # The verdicts are of use whenever the runs end.
-            return not stage.allowed
-        return now_s + advice.fixed_s + RENEWAL_LEAD_S >= end_s
+        is_known = True
+        for run in runs:
+            end_s = self._forecasts.end_s(run, now_s)
+            if end_s is None:
+                is_known = False
+            elif now_s + advice.fixed_s + RENEWAL_LEAD_S < end_s:
+                return False
+        # Without an estimate, the verdicts are of use whenever the runs end.
+        return is_known or not stage.allowed
 
 
 def _earlier_runs(progress: JobProgress, stage: Stage) -> list[Run]:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -124,6 +124,8 @@
     :ivar advice_call_count: advice calls made so far.
     :ivar expected_start_s: when enough capacity is expected on workers that are
         known to be allowed, 0 if it is not known.
+    :ivar awaited_since_s: since when this capacity is less than a call away, 0
+        if it is not.
     :ivar retry_at_s: end of the pause after a start that had no effect.
     :ivar wait_began_s: when the stage became startable, a worker confirmed its
         last start or its last run ended, whichever is latest; 0 before it is
@@ -155,6 +157,7 @@
     advice_deadline_s: float = 0
     advice_call_count: int = 0
     expected_start_s: float = 0
+    awaited_since_s: float = 0
     retry_at_s: float = 0
     next_search_at_s: float = 0
     wait_began_s: float = 0
--- a/packages/currantreach-jobs/src/currantreach_jobs/_stage_advice.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_stage_advice.py
@@ -59,10 +59,8 @@
         advice = stage.job_progress.job.queue.advice
         if advice is None:
             return WaitReason.NO_ROOM
-        if forecast is not None and not forecast.is_free:
-            # A search for other workers would take at least as long.
-            if forecast.start_s - now_s <= advice.fixed_s:
-                return self._renew(stage, advice, forecast, now_s)
+        if forecast is not None and _is_awaited(stage, forecast, advice, now_s):
+            return self._renew(stage, advice, forecast, now_s)
         queried = self._choose(stage, advice, workers, now_s, is_boosted)
         if not queried and forecast is not None and not forecast.is_free:
             return self._renew(stage, advice, forecast, now_s)
@@ -175,6 +173,25 @@
     return stage.step.task_count if stage.step.is_gang else 1
 
 
+def _is_awaited(
+    stage: Stage,
+    forecast: CapacityForecast,
+    advice: AdviceConfig,
+    now_s: float,
+) -> bool:
+    """Tell whether to wait for capacity instead of searching other workers.
+
+    A search would take at least as long. The wait is limited, as a run may
+    take several times as long as it is expected to.
+    """
+    if forecast.is_free or forecast.start_s - now_s > advice.fixed_s:
+        stage.awaited_since_s = 0
+        return False
+    if not stage.awaited_since_s:
+        stage.awaited_since_s = now_s
+    return now_s - stage.awaited_since_s <= advice.fixed_s + RENEWAL_LEAD_S
+
+
 def _fits(
     stage: Stage, workers: Sequence[WorkerState], needed_count: int
 ) -> bool:
--- a/packages/currantreach-jobs/tests/test_tickets_in_time.py
+++ b/packages/currantreach-jobs/tests/test_tickets_in_time.py
@@ -213,6 +213,24 @@
     assert calls[0][2] is AdvicePurpose.START
 
 
+def test_overdue_run_is_not_awaited_for_long(scene, gang):
+    """A gang must search others while a run takes far longer than expected.
+
+    Three runs in a hundred take seven times as long as the rest.
+    """
+    for awaited in ('w0', 'w1'):
+        scene.offline.cluster.durations.ends_s[f'fill-{awaited}'] = 100.5
+        gang.tickets[awaited] = ('code', 1000)
+    for free in ('w4', 'w5'):
+        filling = scene.offline.cluster.jobs[f'fill-{free}'].stages[0, 0]
+        scene.offline.end(*[task.run for task in filling.tasks])
+        gang.allowed.pop(free)
+    assert not scene.advance(0.8)
+    calls = scene.advance(0.5)
+    assert calls[0][2] is AdvicePurpose.START
+    assert set(calls[0][1]) == {'w4', 'w5'}
+
+
 @pytest.fixture
 def later(scene):
     """Return the second step of a job whose first step is running.
