--- a/packages/currantreach-jobs/tests/conftest.py
+++ b/packages/currantreach-jobs/tests/conftest.py
@@ -889,6 +889,7 @@
     """
 
     def __init__(self):
+        super().__init__()
         self.slowdowns = {}
         self.lengths_s = {}
 
--- a/packages/currantreach-jobs/tests/test_reservations.py
+++ b/packages/currantreach-jobs/tests/test_reservations.py
@@ -26,6 +26,7 @@
     """Durations with a tail by job, and slow workers."""
 
     def __init__(self):
+        super().__init__()
         self.tails_s = {}
         self.slowdowns = {}
 
