Adapt tests of tickets and reservations to learned durations

Cause: the parts were built side by side, and their fakes of durations lacked what the learned ones have.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_capacity_forecast.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_capacity_forecast.py
@@ -214,6 +214,11 @@
 
 def _preference(
     stage: Stage, worker: WorkerState, count: int
-) -> tuple[int, bool, int]:
+) -> tuple[bool, int, bool, int]:
     """Return a sort key of workers; reservations are kept where possible."""
-    return -count, worker.reserved_by is not stage, -worker.free.cpu_milli
+    return (
+        worker.is_cold,
+        -count,
+        worker.reserved_by is not stage,
+        -worker.free.cpu_milli,
+    )
--- a/packages/currantreach-jobs/tests/test_tickets_in_time.py
+++ b/packages/currantreach-jobs/tests/test_tickets_in_time.py
@@ -67,6 +67,7 @@
     """Durations by which all runs of a job end at a fixed time."""
 
     def __init__(self, ends_s):
+        super().__init__()
         self.ends_s = ends_s
 
     def remaining_s(self, run, now_s):
