--- a/tests/soak/_cell.py
+++ b/tests/soak/_cell.py
@@ -105,6 +105,8 @@
     :ivar max_stall_s: longest time in which the event loop of this process
         was blocked; what callers observe during a long stall says nothing
         about the daemons.
+    :ivar daemon_limits: limits in the settings of the daemons that differ from
+        the usual ones, by the parameters of :class:`DaemonProcess`.
     """
 
     def __init__(
@@ -129,6 +131,7 @@
         self.store = StoreStandIn(seed)
         self.fleet = FleetStandIn(self.checker, self.store, seed, lease_limit_s)
         self.daemons = []
+        self.daemon_limits = {}
         self.store_relays = []
         self.worker_relays = []
         self.frontends = []
@@ -201,6 +204,7 @@
             store=f'127.0.0.1:{relay.port}',
             advice=f'127.0.0.1:{advice_port}',
             lease_limit_ms=self.fleet.lease_limit_s * 1000,
+            **self.daemon_limits,
         )
         self.daemons.append(daemon)
         self.frontends.append(f'127.0.0.1:{frontend}')
--- a/tests/soak/_daemons.py
+++ b/tests/soak/_daemons.py
@@ -21,7 +21,8 @@
 [limits]
 cpuQuota = 1.0
 cpuCores = 1
-maxFds = 4000
+maxFds = {max_fds}
+memoryMb = {memory_mb}
 [bounds]
 holdMaxMs = {lease_limit_ms}
 gangWaitMs = 3000
@@ -41,15 +42,28 @@
     :ivar can_restart: whether an ended daemon is started again.
     """
 
-    def __init__(self, name, directory, **addresses):
+    def __init__(
+        self, name, directory, *, max_fds=4000, memory_mb=200, **addresses
+    ):
         """Write the settings file."""
         self.name = name
         self.can_restart = True
         self.log_path = directory / f'{name}.log'
         self.settings_path = directory / f'{name}.toml'
-        self.settings_path.write_text(_SETTINGS.format(name=name, **addresses))
+        self.settings_path.write_text(
+            _SETTINGS.format(
+                name=name, max_fds=max_fds, memory_mb=memory_mb, **addresses
+            )
+        )
         self._child = None
 
+    @property
+    def pid(self):
+        """Return the id of the running process, 0 if none runs."""
+        if self._child is None or self._child.returncode is not None:
+            return 0
+        return self._child.pid
+
     async def run(self):
         """Supervise the daemon until cancelled."""
         environment = {
