Limit the bytes and the processor time of callers' requests

Cause: body_bytes was compared with Content-Length only, header_bytes was not used, the bytes of all requests together had no bound, and a body in chunks of one byte kept the event loop busy for seconds.

--- a/packages/currantreach-http/src/currantreach_http/_limiter.py
+++ b/packages/currantreach-http/src/currantreach_http/_limiter.py
@@ -9,6 +9,8 @@
 import attrs
 from aiohttp import StreamReader
 
+from currantreach_http._bodies import BodyReader, WholeBodyReader
+from currantreach_http._connection import CallerConnection
 from currantreach_telemetry import log_event
 
 if TYPE_CHECKING:
@@ -85,11 +87,14 @@
         self,
         get_limits: Callable[[], ConnectionLimits],
         clock: Clock,
+        body_reader: BodyReader | None = None,
     ) -> None:
         """Create a limiter; :meth:`attach` sets its server.
 
         :param get_limits: returns the current limits.
         """
+        self._body_reader = body_reader or WholeBodyReader()
+        self._has_excess = asyncio.Event()
         self._get_limits = get_limits
         self._clock = clock
         self._server: web.Server | None = None
@@ -115,8 +120,9 @@
 
         :raises TimeoutError: if the body does not arrive in time.
         """
-        async with asyncio.timeout(self._get_limits().body_timeout_s):
-            body = await request.read()
+        body = await self._body_reader.read(
+            request, self._get_limits().body_timeout_s
+        )
         self._set_phase(request, _Phase.SERVING)
         return body
 
@@ -166,8 +172,18 @@
     async def run(self) -> None:
         """Close connections that exceed their limits, until cancelled."""
         while True:
-            await asyncio.sleep(_SWEEP_INTERVAL_S)
-            await self.sweep()
+            try:
+                async with asyncio.timeout(_SWEEP_INTERVAL_S):
+                    await self._has_excess.wait()
+            except TimeoutError:
+                await self.sweep()
+            self._has_excess.clear()
+            await self.close_excess()
+
+    def note_open_count(self, open_count: int) -> None:
+        """Have excess connections closed before the next sweep."""
+        if open_count > self._get_limits().max_connections:
+            self._has_excess.set()
 
     async def sweep(self) -> None:
         """Close all connections that exceed a limit."""
@@ -235,9 +251,16 @@
         for connection, state in states.items():
             if connection.transport is None:
                 continue
-            if self._states.get(connection) is state:
+            if self._states.get(connection) is state and not _has_data(
+                connection
+            ):
                 log_event('connection_closed', reason=reason)
                 connection.force_close()
             else:
                 connection.transport.resume_reading()
         return sum(not closed.connected for closed in connections)
+
+
+def _has_data(connection: RequestHandler) -> bool:
+    """Tell whether a connection has received data that is not parsed yet."""
+    return isinstance(connection, CallerConnection) and connection.is_deferred
--- a/tests/adapter/test_stop.py
+++ b/tests/adapter/test_stop.py
@@ -77,7 +77,7 @@
     """Return a started server."""
     submissions = SubmissionService()
     daemon = Daemon(decode_config(encode(config_fields)), submissions)
-    caller_server = CallerServer(daemon, Metrics(), 100)
+    caller_server = CallerServer(daemon, Metrics(), 100, 4_000_000)
     await caller_server.start('127.0.0.1:0', '127.0.0.1:0')
     _, port = caller_server._runners[0].addresses[0]
     running = RunningServer(caller_server, submissions, port)
