Limit the bytes of links between daemons and of responses

Cause: a link or a server of links limited the number of calls and the size of one frame only, so that the largest frames could hold 2 GB in a receive queue or in calls in flight, and half a gigabyte in requests of one method. A response of the store, a worker or the placement service was read whatever its size.

Change: the calls of one link, and the requests that a server handles, hold at most 16 MB in frames above 16 KiB; a call beyond that is refused as not sent or as busy, which is true. A receive queue has 16 frames instead of 1000; further ones wait at their sender.

--- a/packages/currantreach-links/src/currantreach_links/_connection.py
+++ b/packages/currantreach-links/src/currantreach_links/_connection.py
@@ -9,7 +9,10 @@
 from zmq import asyncio as async_zmq
 
 from currantreach_links._errors import NotSentError
-from currantreach_links._frames import MAX_FRAME_BYTES
+from currantreach_links._frames import (
+    MAX_FRAME_BYTES,
+    RECEIVE_QUEUE_LENGTH,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -40,7 +43,8 @@
         socket = async_zmq.Context.instance().socket(zmq.DEALER)
         socket.linger = 0
         socket.maxmsgsize = MAX_FRAME_BYTES
-        socket.set_hwm(_HIGH_WATER_MARK)
+        socket.sndhwm = _HIGH_WATER_MARK
+        socket.rcvhwm = RECEIVE_QUEUE_LENGTH
         # Without this option, frames are queued while there is no connection,
         # and the peer would handle calls long after they timed out.
         socket.immediate = 1
--- a/packages/currantreach-links/src/currantreach_links/_frames.py
+++ b/packages/currantreach-links/src/currantreach_links/_frames.py
@@ -15,11 +15,30 @@
 if TYPE_CHECKING:
     from typing import Final
 
-__all__ = ('MAX_FRAME_BYTES', 'FrameCodec', 'Reply', 'Request')
+__all__ = (
+    'MAX_FRAME_BYTES',
+    'MAX_HELD_BYTES',
+    'RECEIVE_QUEUE_LENGTH',
+    'SMALL_FRAME_BYTES',
+    'FrameCodec',
+    'Reply',
+    'Request',
+)
 
 #: Twice the size of the largest payload, a store value of 1 MB.
 MAX_FRAME_BYTES: Final = 2 * 1024 * 1024
 
+#: Calls of one link, or requests of all peers, hold no more bytes in frames.
+MAX_HELD_BYTES: Final = 16_000_000
+
+#: Frames such as heartbeats, lease requests and most jobs, which are handled
+#: whatever larger ones hold. Their number is limited.
+SMALL_FRAME_BYTES: Final = 16384
+
+#: Frames of one connection that wait to be read. Further ones remain at the
+#: sender, so this costs no frame; a thousand of the largest take 2 GB.
+RECEIVE_QUEUE_LENGTH: Final = 16
+
 _MAC_BYTES: Final = 32
 _MIN_SECRET_BYTES: Final = 16
 
--- a/packages/currantreach-links/src/currantreach_links/_link.py
+++ b/packages/currantreach-links/src/currantreach_links/_link.py
@@ -12,6 +12,8 @@
 from currantreach_links._errors import NotSentError, build_error
 from currantreach_links._frames import (
     MAX_FRAME_BYTES,
+    MAX_HELD_BYTES,
+    SMALL_FRAME_BYTES,
     FrameCodec,
     Reply,
     Request,
@@ -52,11 +54,16 @@
         secret: bytes,
         peer_timeout_s: float = 2,
         max_in_flight: int = 1000,
+        max_held_bytes: int = MAX_HELD_BYTES,
     ) -> None:
         """Create a link; the first call connects it.
 
         :param max_in_flight: limit on calls sent or waiting to be sent.
+        :param max_held_bytes: limit on the bytes of these calls, above which
+            only small ones are sent.
         """
+        self._held_bytes = 0
+        self._max_held_bytes = max_held_bytes
         self.peer_id = peer_id
         self.address = address
         self.reconnect_count = 0
@@ -116,10 +123,13 @@
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + timeout_s
         reply_future: asyncio.Future[Reply] = loop.create_future()
+        frame = self._codec.encode_frame(request)
+        self._hold(len(frame))
         self._pending[request.call_id] = reply_future
         with contextlib.ExitStack() as cleanup:
+            cleanup.callback(self._release, len(frame))
             cleanup.callback(self._pending.pop, request.call_id, None)
-            await self._send(self._codec.encode_frame(request), timeout_s)
+            await self._send(frame, timeout_s)
             await asyncio.wait({reply_future}, timeout=deadline_s - loop.time())
         if reply_future.cancelled() or not reply_future.done():
             raise LinkError(
@@ -128,6 +138,18 @@
             )
         return reply_future.result()
 
+    def _hold(self, size_bytes: int) -> None:
+        held_bytes = self._held_bytes + size_bytes
+        is_small = size_bytes <= SMALL_FRAME_BYTES
+        if held_bytes > self._max_held_bytes and not is_small:
+            raise NotSentError(
+                f'calls to {self.peer_id} hold too many bytes; retry later'
+            )
+        self._held_bytes = held_bytes
+
+    def _release(self, size_bytes: int) -> None:
+        self._held_bytes -= size_bytes
+
     async def _send(self, frame: bytes, timeout_s: float) -> None:
         if len(frame) > MAX_FRAME_BYTES:
             raise NotSentError(
--- a/packages/currantreach-links/src/currantreach_links/_server.py
+++ b/packages/currantreach-links/src/currantreach_links/_server.py
@@ -14,6 +14,9 @@
 from currantreach_links._errors import BUSY, WrongMacError, error_kind
 from currantreach_links._frames import (
     MAX_FRAME_BYTES,
+    MAX_HELD_BYTES,
+    RECEIVE_QUEUE_LENGTH,
+    SMALL_FRAME_BYTES,
     FrameCodec,
     Reply,
     Request,
@@ -55,6 +58,7 @@
         secret: bytes,
         handlers: Mapping[str, Handler],
         max_concurrent_per_method: int = 256,
+        max_held_bytes: int = MAX_HELD_BYTES,
     ) -> None:
         """Create a server; :meth:`start` opens it.
 
@@ -62,7 +66,11 @@
         :param secret: shared secret of all daemons.
         :param handlers: handlers by method name.
         :param max_concurrent_per_method: limit on concurrent requests.
+        :param max_held_bytes: limit on the bytes of all concurrent requests,
+            above which only small ones are handled.
         """
+        self._held_bytes = 0
+        self._max_held_bytes = max_held_bytes
         self._bind_address = bind_address
         self._codec = FrameCodec(secret)
         self._handlers = dict(handlers)
@@ -95,7 +103,8 @@
         socket = async_zmq.Context.instance().socket(zmq.ROUTER)
         socket.linger = 0
         socket.maxmsgsize = MAX_FRAME_BYTES
-        socket.set_hwm(_HIGH_WATER_MARK)
+        socket.sndhwm = _HIGH_WATER_MARK
+        socket.rcvhwm = RECEIVE_QUEUE_LENGTH
         # Dead connections are closed, so they do not accumulate.
         socket.heartbeat_ivl = _HEARTBEAT_MS
         socket.heartbeat_timeout = _HEARTBEAT_TIMEOUT_MS
@@ -178,17 +187,33 @@
         if not request.method:
             return Reply(call_id=request.call_id)
         if self._running[request.method] >= self._max_concurrent:
-            self._rejected_counts['busy'] += 1
-            return Reply(
-                call_id=request.call_id,
-                error_kind=BUSY,
-                error_text=f'too many {request.method} calls; retry later',
-            )
+            return self._reject(request, 'busy', 'too many calls')
+        size_bytes = len(request.body)
+        is_small = size_bytes <= SMALL_FRAME_BYTES
+        if self._held_bytes + size_bytes > self._max_held_bytes:
+            if not is_small:
+                return self._reject(
+                    request, 'too_many_bytes', 'calls too large'
+                )
         self._running[request.method] += 1
+        self._held_bytes += size_bytes
         with contextlib.ExitStack() as cleanup:
             cleanup.callback(self._running.subtract, (request.method,))
+            cleanup.callback(self._release, size_bytes)
             return await self._call_handler(request)
 
+    def _reject(self, request: Request, reason: str, text: str) -> Reply:
+        """Count a request that is not handled, and tell its peer."""
+        self._rejected_counts[reason] += 1
+        return Reply(
+            call_id=request.call_id,
+            error_kind=BUSY,
+            error_text=f'{request.method}: {text}; retry later',
+        )
+
+    def _release(self, size_bytes: int) -> None:
+        self._held_bytes -= size_bytes
+
     async def _call_handler(self, request: Request) -> Reply:
         try:
             body = await self._handlers[request.method](request.body)
--- a/packages/currantreach-links/tests/test_links.py
+++ b/packages/currantreach-links/tests/test_links.py
@@ -246,3 +246,72 @@
         with pytest.raises(NotSentError):
             await link.call('method', None, dict, 0.1)
         await link.close()
+
+
+@pytest.fixture
+async def holding_server():
+    """Return a server with a limit on bytes, and the event that it awaits."""
+    may_answer = asyncio.Event()
+
+    async def wait(body):
+        await may_answer.wait()
+        return body
+
+    peer = PeerServer(ANY_PORT, SECRET, {'wait': wait}, max_held_bytes=50_000)
+    await peer.start()
+    yield peer, may_answer
+    await peer.close()
+
+
+async def wait_until_held(held):
+    """Wait until a server or a link holds the bytes of a call."""
+    async with asyncio.timeout(5):
+        while not held._held_bytes:
+            await asyncio.sleep(0.001)
+
+
+async def test_server_limits_the_bytes_of_requests(holding_server, connect):
+    """Requests of the largest size could hold half a gigabyte."""
+    server, may_answer = holding_server
+    link = connect(server.address)
+    large = 'x' * 40_000
+    first = asyncio.create_task(link.call('wait', large, str, 5))
+    await wait_until_held(server)
+    with pytest.raises(NotSentError, match='too large'):
+        await link.call('wait', large, str, 5)
+    assert server.rejected_counts['too_many_bytes'] == 1
+    small = asyncio.create_task(link.call('wait', 'small', str, 5))
+    may_answer.set()
+    assert await small == 'small'
+    assert await first == large
+    assert await link.call('wait', large, str, 5) == large
+
+
+async def test_link_limits_the_bytes_of_calls(holding_server, connect):
+    """Calls to a slow peer could hold two gigabytes."""
+    server, may_answer = holding_server
+    link = connect(server.address, max_held_bytes=50_000)
+    large = 'x' * 40_000
+    first = asyncio.create_task(link.call('wait', large, str, 5))
+    await wait_until_held(link)
+    with pytest.raises(NotSentError, match='too many bytes'):
+        await link.call('wait', large, str, 5)
+    small = asyncio.create_task(link.call('wait', 'small', str, 5))
+    await wait_until_held(server)
+    may_answer.set()
+    assert await small == 'small'
+    assert await first == large
+    assert link._held_bytes == 0
+
+
+async def test_more_requests_than_the_receive_queue(server, connect):
+    """A short receive queue must delay requests and lose none."""
+    link = connect(server.address)
+    assert await link.call('echo', 'connected', str, 5) == 'connected'
+    calls = [link.call('echo', str(number), str, 10) for number in range(300)]
+    replies = await asyncio.gather(*calls, return_exceptions=True)
+    # The others were rejected, as two are handled at once.
+    assert all(
+        reply == str(number) or isinstance(reply, NotSentError)
+        for number, reply in enumerate(replies)
+    )
--- a/packages/currantreach-platform/src/currantreach_platform/_exchange.py
+++ b/packages/currantreach-platform/src/currantreach_platform/_exchange.py
@@ -25,6 +25,9 @@
 )
 
 _KEEPALIVE_S = 15
+# A page of the store with the records of all open jobs is smaller, since their
+# memory is bounded and several times the size of their records.
+_RESPONSE_LIMIT_BYTES = 16_777_216
 # Raised by aiohttp for a lost connection, a closed session or an invalid
 # address.
 _CONNECTION_ERRORS = aiohttp.ClientError, OSError, RuntimeError, ValueError
@@ -47,6 +50,8 @@
     :ivar query: query parameters, not yet encoded.
     :ivar body: request body, if any.
     :ivar wait_s: duration of a long poll, added to the timeout.
+    :ivar response_limit_bytes: largest body of the response; a larger one is
+        not read to its end.
     """
 
     method: str
@@ -54,6 +59,7 @@
     query: dict[str, str] = attrs.field(factory=dict)
     body: bytes | None = None
     wait_s: float = 0
+    response_limit_bytes: int = _RESPONSE_LIMIT_BYTES
 
     def url(self, base_url: str) -> URL:
         """Return the URL of the request."""
@@ -162,7 +168,7 @@
         allow_redirects=False,
         trace_request_ctx=attempt,
     ) as response:
-        body = await response.read()
+        body = await _read_body(response, request.response_limit_bytes)
         return HttpResponse(
             status=response.status,
             headers=response.headers,
@@ -171,6 +177,27 @@
         )
 
 
+async def _read_body(
+    response: aiohttp.ClientResponse, limit_bytes: int
+) -> bytes:
+    """Read the body of a response, however it is sent.
+
+    :raises NoResponseError: if it is too large; the connection is closed.
+    """
+    body = bytearray()
+    is_too_large = (response.content_length or 0) > limit_bytes
+    while not is_too_large and not response.content.at_eof():
+        body += await response.content.readany()
+        is_too_large = len(body) > limit_bytes
+    if is_too_large:
+        response.close()
+        raise NoResponseError(
+            f'the response has more than {limit_bytes} bytes; '
+            'check what answers at this address',
+        )
+    return bytes(body)
+
+
 def _closes_connection(response: aiohttp.ClientResponse) -> bool:
     announced = response.headers.get('Connection', '').lower()
     if response.version == aiohttp.HttpVersion10:
