Stop decompressing the rest of a refused body

Cause: after a refusal aiohttp reads the rest of a body to drop it, and decompresses it.

Change: nothing is parsed after a refusal, and the rest of a compressed body is dropped unparsed after any early response.

The test checks that less than 1 MB of a body of 20 MB is decompressed.

--- a/packages/currantreach-http/src/currantreach_http/_connection.py
+++ b/packages/currantreach-http/src/currantreach_http/_connection.py
@@ -193,8 +193,11 @@
     def data_received(self, received: bytes) -> None:
         """Parse data, and refuse a request that exceeds a limit.
 
-        aiohttp itself calls this without data after a pause.
+        aiohttp itself calls this without data after a pause. Nothing is parsed
+        after a refusal: a compressed body would be decompressed to its end.
         """
+        if self._refusal:
+            return
         request_count = self._request_count
         is_head = self._last_body.is_eof()
         super().data_received(received)
@@ -244,9 +247,13 @@
             self._holding, received_bytes=self._queued_bytes()
         )
 
-    def end_request(self) -> None:
+    def end_request(self, request: web.BaseRequest) -> None:
         """Release the bytes of a request that was answered."""
         self.spent_s = 0
+        has_rest = not request.content.is_eof()
+        if has_rest and 'Content-Encoding' in request.headers:
+            # The rest would be decompressed only to be dropped.
+            self._refusal = self._refusal or BODY_TOO_LARGE
         self._context.budget.set_bytes(
             self._holding,
             received_bytes=self._queued_bytes(),
--- a/tests/adapter/test_caller_limits.py
+++ b/tests/adapter/test_caller_limits.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import gzip
 
 import attrs
 import pytest
@@ -207,6 +208,23 @@
     writer.close()
 
 
+@pytest.mark.parametrize(
+    ('path', 'status'), [(b'/plans/', 413), (b'/gone/', 404)]
+)
+async def test_compressed_body_is_not_read_to_its_end(server, path, status):
+    """The rest of refused bodies was decompressed, for seconds altogether."""
+    body = gzip.compress(bytes(20_000_000))
+    head = b'Content-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n'
+    chunk = b'%x\r\n%b\r\n' % (len(body), body)
+    sent = b''.join((HEAD.replace(b'/plans/', path), head, chunk))
+    reader, writer = await server.send(sent)
+    assert (await read_response(reader))[0] == status
+    await asyncio.sleep(0.2)
+    connection = server.caller_server._runners[0].server.connections[0]
+    assert connection._last_body.total_bytes < 1_000_000
+    writer.close()
+
+
 async def test_excess_of_all_requests_is_refused(server):
     """Bodies of permitted size were held whatever their number."""
     partial = HEAD + f'Content-Length: {BODY_BYTES}\r\n\r\n'.encode()
