Delay calls in the state machine of owners

Cause: the fake workers of the state machine answered a call at once or lost it, so no later call overtook another one there; the postmortem of the gangs that are retried names this gap. Change: a rule delays the calls of a method, or their answers.

--- a/packages/currantreach-daemon/tests/test_owner_machine.py
+++ b/packages/currantreach-daemon/tests/test_owner_machine.py
@@ -144,6 +144,26 @@
         """Lose the next call of a method, or the answer to it."""
         getattr(self.cell.workers[name], fault)[method] = 1
 
+    @stateful.rule(
+        name=st.sampled_from(['w0', 'w1']),
+        method=st.sampled_from((*_CALLS, 'events')),
+        part=st.sampled_from(['effect', 'answer']),
+        delay_s=st.sampled_from([0.3, 1, 4]),
+    )
+    def delay_calls(self, name, method, part, delay_s):
+        """Delay the next calls of a method, or the answers to them.
+
+        Later calls of other methods overtake them.
+        """
+        delays = self.cell.workers[name].delays
+        released = delays.setdefault((method, part), asyncio.Event())
+
+        def release():
+            released.set()
+            delays.pop((method, part), None)
+
+        self.runner.get_loop().call_later(delay_s, release)
+
     @stateful.rule(fault=st.sampled_from(['down', 'lost', 'late']))
     def fail_append(self, fault):
         """Make the next write to the journal fail."""
