--- a/packages/currantreach-jobs/tests/test_cold_workers.py
+++ b/packages/currantreach-jobs/tests/test_cold_workers.py
@@ -151,3 +151,29 @@
     offline.started()
     assert full.reserved_by is stage
     assert half.reserved_by is None
+
+
+def test_gang_starts_on_warm_workers_despite_slack(offline, durations, job):
+    """A gang with slack must not prefer cold workers that were learned slow.
+
+    The slowest workers on which it is on time came first, warm or not.
+    """
+    cluster = offline.cluster
+    for number in range(2):
+        report = cluster.workers['w1'].report
+        cold = attrs.evolve(
+            report, worker_id=f'cold{number}', cold_remaining_s=30
+        )
+        offline.add_workers([cold])
+        durations.slowdowns[cold.worker_id] = 2
+    cluster.add_job(
+        job(
+            'a' * 16,
+            2,
+            needed=Resources(cpu_milli=16000, memory_mib=1000),
+            is_gang=True,
+            estimate_s=0.1,
+        )
+    )
+    offline.started()
+    assert {run.worker_id for run in offline.launched} == {'w1', 'w2'}
--- a/packages/currantreach-jobs/tests/test_reservations.py
+++ b/packages/currantreach-jobs/tests/test_reservations.py
@@ -316,3 +316,22 @@
     # It is 5 s beyond its estimate, so another half of that is expected.
     assert found.start_s == pytest.approx(NOW_S + 9.5)
     assert not found.is_free
+
+
+def test_forecast_with_a_limit_on_workers_has_workers(offline, job, reports):
+    """A forecast must not lose its workers to one that frees up just after.
+
+    A gang without workers reserved nothing, and smaller tasks took the
+    capacity that it waited for.
+    """
+    cluster = offline.cluster
+    fleet = Fleet(offline, job)
+    cluster.add_worker(attrs.evolve(reports[0], cold_remaining_s=60))
+    fleet.occupy('r1', 'w1', WHOLE, 1)
+    fleet.occupy('r2', 'w2', HALF, 1.05)
+    fleet.occupy('r3', 'w2', HALF, 9)
+    gang = fleet.add('gang', 2, needed=HALF, is_gang=True, estimate_s=4)
+    forecast = ForecastCalculator(cluster).forecast(
+        gang, cluster.workers.values(), 2, 1, offline.clock.now_s()
+    )
+    assert [worker.report.worker_id for worker in forecast.workers] == ['w1']
--- a/packages/currantreach-jobs/tests/test_tickets_in_time.py
+++ b/packages/currantreach-jobs/tests/test_tickets_in_time.py
@@ -349,3 +349,17 @@
     assert dispatcher.has_spare_member(ADVICE)
     dispatcher._in_flight['far3'] = 1
     assert not dispatcher.has_spare_member(ADVICE)
+
+
+def test_small_cell_renews_tickets():
+    """A cell of four idle daemons must make calls that can wait as well.
+
+    Its half for long calls has two daemons, fewer than had to be idle, so a
+    gang waited for capacity without renewing its tickets.
+    """
+    cell = StubCell()
+    cell.members = dict.fromkeys(('own', 'near1', 'far1', 'far2'), 'address')
+    dispatcher = AdviceDispatcher(
+        cell, None, None, ManualClock(100), lambda: None, Metrics()
+    )
+    assert dispatcher.has_spare_member(ADVICE)
