--- a/packages/currantreach-decisions/tests/test_estimates.py
+++ b/packages/currantreach-decisions/tests/test_estimates.py
@@ -53,3 +53,30 @@
     task = make_task()
     estimator.learn_run(task, 99)
     assert estimator.run_s(task.spec) == 1
+
+
+def test_declared_time_far_off_is_replaced(make_task):
+    """A run time far above the declared one must be learned as well.
+
+    Runs of more than a hundred times the declared time were dropped as
+    measured wrongly. It is 1 s where a caller declares none, so tasks of some
+    minutes were expected to end at once.
+    """
+    estimator = Estimator()
+    task = make_task()
+    for _ in range(30):
+        estimator.learn_run(task, 250)
+    assert estimator.run_s(task.spec) == pytest.approx(150, rel=0.2)
+
+
+def test_many_workloads_are_learned(make_task):
+    """A hundred workloads in turn must all keep their run times.
+
+    Only 64 of them were kept, and the others had their declared times again.
+    """
+    estimator = Estimator()
+    tasks = [make_task(workload=f'workload-{number}') for number in range(100)]
+    for _ in range(30):
+        for task in tasks:
+            estimator.learn_run(task, 104)
+    assert all(estimator.run_s(task.spec) > 2 for task in tasks)
