Keep rounds and gangs sound when learned speeds mislead

Cause, both found by the review with a failing test: an error while the speeds of workers were measured came back in each round, so that nothing started while the leader kept its lease; and a gang with slack preferred cold workers, which are learned as slow, to warm ones. Change: such an error is logged and counted as speeds_failed, and all workers count as usual; a gang uses cold workers only if the warm ones do not suffice.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -291,9 +291,16 @@
 
     def _measure_speeds(self, now_s: float) -> None:
         workers = self._cluster.workers
-        slowdowns = read_slowdowns(workers, self._cluster.durations)
-        slowdowns.update(self._slow_runs.observe(workers, slowdowns, now_s))
-        self._speeds = measure_speeds(slowdowns, now_s)
+        try:
+            slowdowns = read_slowdowns(workers, self._cluster.durations)
+            slowdowns.update(self._slow_runs.observe(workers, slowdowns, now_s))
+            self._speeds = measure_speeds(slowdowns, now_s)
+        except Exception as error:
+            # All workers count as usual until the next measurement, as the
+            # same error would end each round.
+            self._metrics.record_retry('speeds_failed')
+            log_warning('speeds_failed', error=repr(error))
+            self._speeds = measure_speeds({}, now_s)
 
     def _speed_order(self, stage: Stage, now_s: float) -> SpeedOrder | None:
         return self._speeds.order_for(stage, now_s)
--- a/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
@@ -331,9 +331,15 @@
     workers: Sequence[WorkerState],
     speed_order: SpeedOrder,
 ) -> Sequence[WorkerState]:
-    """Return workers of similar speed that fit a gang, if there are any."""
+    """Return workers of similar speed that fit a gang, if there are any.
+
+    Cold workers are slow for a moment only, so warm ones come first even where
+    a gang has time for slower ones.
+    """
     task_count = stage.step.task_count
-    for candidates in (_near_workers(stage, workers), workers):
+    warm = [worker for worker in workers if not worker.is_cold]
+    near = _near_workers(stage, workers)
+    for candidates in (_near_workers(stage, warm), warm, near, workers):
         fitting = [
             (worker, fitting_count(stage, worker)) for worker in candidates
         ]
