Ignore bytes that are set on a closed holding

Cause: aiohttp does not cancel the handler of a lost connection. When it ended, end_request set the bytes of the queued requests on the holding that connection_lost had closed; the total grew by up to 60 kB a connection and nothing released it until a restart. begin_request, begin_serving and receive could do the same. Change: set_bytes does nothing for a holding that is not held any more.

--- a/packages/currantreach-http/src/currantreach_http/_budget.py
+++ b/packages/currantreach-http/src/currantreach_http/_budget.py
@@ -94,7 +94,13 @@
         received_bytes: int | None = None,
         served_bytes: int | None = None,
     ) -> None:
-        """Replace the bytes of a holding without enforcing the limit."""
+        """Replace the bytes of a holding without enforcing the limit.
+
+        Does nothing once the holding is closed: a request may end after its
+        connection, and nothing would release bytes that it sets then.
+        """
+        if holding not in self._holdings:
+            return
         if received_bytes is not None:
             self.total_bytes += received_bytes - holding.received_bytes
             holding.received_bytes = received_bytes
--- a/packages/currantreach-http/tests/test_budget.py
+++ b/packages/currantreach-http/tests/test_budget.py
@@ -97,3 +97,16 @@
     budget.receive(holding, SMALL_BYTES)
     budget.close(holding)
     assert budget.total_bytes == 0
+
+
+def test_closed_holding_stays_empty(budget, open_holding, refused):
+    """Bytes set after a connection was lost were held until a restart."""
+    other = open_holding('other', LARGE_BYTES)
+    holding = open_holding('closed', LARGE_BYTES)
+    budget.close(holding)
+    budget.set_bytes(holding, received_bytes=1, served_bytes=1)
+    assert budget.receive(holding, LIMIT_BYTES)
+    assert budget.serve(holding, LIMIT_BYTES)
+    budget.close(holding)
+    assert not refused
+    assert budget.total_bytes == other.received_bytes == LARGE_BYTES
