Drop the queued requests of a lost connection

Cause: the queue of aiohttp and _last_body kept the bodies of requests that nobody serves any more, up to the end of the request in progress, while the budget counted them as released. Change: connection_lost clears the queue and the last body.

--- a/packages/currantreach-http/src/currantreach_http/_connection.py
+++ b/packages/currantreach-http/src/currantreach_http/_connection.py
@@ -155,9 +155,7 @@
         self._context.budget.close(self._holding)
         if self._linger_handle is not None:
             self._linger_handle.cancel()
-        # A task that was just woken for a request would fail without one.
-        if self._waiter is not None and self._task_handler is not None:
-            self._task_handler.cancel()
+        self._drop_queued()
         super().connection_lost(exc)
 
     def get_buffer(self, sizehint: int) -> bytearray:
@@ -352,6 +350,15 @@
             if isinstance(message, RawRequestMessage)
         )
 
+    def _drop_queued(self) -> None:
+        """Drop the requests that wait to be served."""
+        if self._messages:
+            self._messages.clear()
+            self._last_body = EMPTY_PAYLOAD
+        # A task that was just woken for a request would fail without one.
+        if self._waiter is not None and self._task_handler is not None:
+            self._task_handler.cancel()
+
     def _answer_refusal(self) -> None:
         """Answer a request without complete headers, and close."""
         self._context.closures.add(self._refusal)
--- a/packages/currantreach-http/tests/test_connection_budget.py
+++ b/packages/currantreach-http/tests/test_connection_budget.py
@@ -7,7 +7,7 @@
 import gc
 import io
 
-from aiohttp import web
+from aiohttp import StreamReader, web
 
 from currantreach_http import (
     ByteBudget,
@@ -91,6 +91,16 @@
     return budget.total_bytes
 
 
+async def bodies_after_loss():
+    """Return the number of queued bodies in memory after the loss."""
+    async with lose_connection(ByteBudget(1_000_000), Handler()):
+        gc.collect()
+        return sum(
+            isinstance(each, StreamReader) and each.total_bytes == BODY_BYTES
+            for each in gc.get_objects()
+        )
+
+
 async def errors_of_loss():
     """Return the errors if a connection is lost as its request is parsed."""
     errors = []
@@ -123,6 +133,14 @@
     assert asyncio.run(asyncio.wait_for(held_after_loss(), 10)) == 0
 
 
+def test_lost_connection_drops_queued_bodies():
+    """Bodies that nobody serves must not stay in memory, uncounted.
+
+    They were kept until the request in progress ended.
+    """
+    assert asyncio.run(asyncio.wait_for(bodies_after_loss(), 10)) == 0
+
+
 def test_request_parsed_with_the_loss_causes_no_error():
     """The task of a connection failed if it was woken for a dropped request.
 
