Share the forecasts of waiting gangs within a round

Cause: each waiting gang went over all workers and runs in each search, also when no worker could be reserved any more, and then sorted all gains about ten times.

Change: a gang that may reserve no worker makes no forecast. Gangs with the same demand share one sorted list of gains until a worker changes; each goes over it until its tasks fit, and counts the best workers within the limit on the way. A gang without a forecast makes the next one after 0.25 s, or once it has new verdicts. A worker with too few free cores is counted without further calls.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_advice.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_advice.py
@@ -308,6 +308,7 @@
         """Free a daemon for the next call; its call has ended, maybe early."""
         stage.advice_deadline_s = 0
         stage.next_search_at_s = 0
+        stage.next_forecast_at_s = 0
         now_s = self._clock.now_s()
         self._in_flight[member] -= 1
         if not is_answered:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_capacity_forecast.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_capacity_forecast.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import bisect
-import collections
-import itertools
-from operator import itemgetter
+from operator import attrgetter, itemgetter
 from typing import TYPE_CHECKING
 
 import attrs
@@ -14,7 +12,7 @@
 from currantreach_types import Resources
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator, Sequence
+    from collections.abc import Collection, Iterable, Iterator
 
     from currantreach_jobs._cluster_state import ClusterState
     from currantreach_jobs._progress import Run, Stage
@@ -29,6 +27,11 @@
 _TOLERANCE_S = 0.1
 # A run beyond its expected duration takes at least this fraction of it longer.
 _OVERDUE_FRACTION = 0.1
+# Gains are kept for at most this many different demands.
+_MAX_RANKINGS = 64
+
+# Resources of a task, and how many of them may run on a worker.
+_Demand = tuple[Resources, int]
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -61,11 +64,99 @@
     :ivar free: its free resources when the timeline was made; these objects
         are replaced with each start and end.
     :ivar steps: times and free resources from then on, in order of time.
+    :ivar gains: gains for each demand that was asked for.
     """
 
     valid_until_s: float
     free: Resources
     steps: tuple[tuple[float, Resources], ...]
+    gains: dict[_Demand, tuple[_Gain, ...]] = attrs.field(factory=dict)
+
+
+@attrs.frozen(slots=True)
+class _Ranking:
+    """Gains of all workers for one demand, in order of time.
+
+    :ivar timelines: those from which the gains follow, with their workers.
+    """
+
+    valid_until_s: float
+    timelines: tuple[tuple[WorkerState, _Timeline], ...]
+    gains: tuple[_Gain, ...]
+
+    def is_valid(self, workers: Collection[WorkerState], now_s: float) -> bool:
+        """Tell whether no worker has changed since."""
+        if now_s >= self.valid_until_s or len(workers) != len(self.timelines):
+            return False
+        return all(
+            worker is ranked and worker.free is timeline.free
+            for worker, (ranked, timeline) in zip(
+                workers, self.timelines, strict=True
+            )
+        )
+
+
+class _Selection:
+    """Selection of a limited number of workers that fit most tasks."""
+
+    def __init__(self, max_workers: int) -> None:
+        self._total = 0
+        self._max_workers = max_workers
+        self._counts: dict[WorkerState, int] = {}
+        # Counts in ascending order.
+        self._ordered: list[int] = []
+
+    def add_until(
+        self, gains: Iterator[_Gain], needed_count: int
+    ) -> float | None:
+        """Add gains until enough tasks fit; return from when on they do.
+
+        :param gains: further gains in order of time.
+        """
+        for gain in gains:
+            self._add(gain)
+            if self._total >= needed_count:
+                return gain.time_s
+        return None
+
+    def add_before(self, gains: Iterator[_Gain], latest_s: float) -> None:
+        """Add the gains up to a time."""
+        for gain in gains:
+            if gain.time_s > latest_s:
+                break
+            self._add(gain)
+
+    def fewest(
+        self, stage: Stage, needed_count: int
+    ) -> tuple[WorkerState, ...]:
+        """Return the fewest workers that suffice, none if there are too few.
+
+        Warm workers are preferred.
+        """
+        ranked = sorted(
+            self._counts.items(),
+            key=lambda counted: _preference(stage, *counted),
+        )
+        chosen: list[WorkerState] = []
+        for worker, count in ranked[: self._max_workers]:
+            if needed_count <= 0:
+                break
+            chosen.append(worker)
+            needed_count -= count
+        return tuple(chosen) if needed_count <= 0 else ()
+
+    def _add(self, gain: _Gain) -> None:
+        former = self._counts.get(gain.worker, 0)
+        count = former + gain.count
+        self._counts[gain.worker] = count
+        # The least count among the chosen workers, 0 if there are too few.
+        least = 0
+        if len(self._ordered) >= self._max_workers:
+            least = self._ordered[-self._max_workers]
+        self._total += max(0, count - max(former, least))
+        if former:
+            self._ordered.pop(bisect.bisect_left(self._ordered, former))
+        bisect.insort(self._ordered, count)
 
 
 class ForecastCalculator:
@@ -78,6 +169,7 @@
         """Create a calculator that uses the durations of a cluster."""
         self._cluster = cluster
         self._timelines: dict[str, _Timeline] = {}
+        self._rankings: dict[_Demand, _Ranking] = {}
 
     def forecast(
         self,
@@ -94,37 +186,24 @@
         :param max_workers: number of workers that may be used.
         :returns: nothing if no such time can be told.
         """
-        gains: list[_Gain] = []
-        for worker in workers:
-            gains.extend(self._gains(stage, worker, now_s))
-        gains.sort(key=lambda gain: gain.time_s)
-        totals = list(itertools.accumulate(gain.count for gain in gains))
-        first = bisect.bisect_left(totals, needed_count)
-        if first < len(gains) and max_workers <= first:
-            # With a limit on the workers, it may take longer.
-            first = bisect.bisect_left(
-                range(len(gains)),
-                x=True,
-                lo=first,
-                key=lambda last: bool(
-                    _fewest(stage, gains[: last + 1], needed_count, max_workers)
-                ),
-            )
-        if first >= len(gains):
+        eligible = set(workers)
+        if not eligible or max_workers <= 0:
+            return None
+        gains = (
+            gain
+            for gain in self._ranked_gains(stage, now_s)
+            if gain.worker in eligible
+        )
+        selection = _Selection(max_workers)
+        start_s = selection.add_until(gains, needed_count)
+        if start_s is None:
             return None
-        start_s = gains[first].time_s
-        last = first + 1
         if start_s:
-            last = bisect.bisect_right(
-                gains,
-                start_s + _TOLERANCE_S,
-                lo=last,
-                key=lambda gain: gain.time_s,
-            )
+            selection.add_before(gains, start_s + _TOLERANCE_S)
         return CapacityForecast(
             start_s=max(now_s, start_s),
             is_free=not start_s,
-            workers=_fewest(stage, gains[:last], needed_count, max_workers),
+            workers=selection.fewest(stage, needed_count),
         )
 
     def end_s(self, run: Run, now_s: float) -> float | None:
@@ -136,6 +215,41 @@
         remaining_s = durations.remaining_s(run, now_s)
         return now_s + max(remaining_s, _OVERDUE_FRACTION * mean_s)
 
+    def _ranked_gains(self, stage: Stage, now_s: float) -> tuple[_Gain, ...]:
+        """Return the gains of all workers for a stage, in order of time.
+
+        They are shared by all stages with the same demand until a worker
+        changes.
+        """
+        demand = _demand_of(stage)
+        ranking = self._rankings.get(demand)
+        workers = self._cluster.workers.values()
+        if ranking is not None and ranking.is_valid(workers, now_s):
+            return ranking.gains
+        timelines: list[tuple[WorkerState, _Timeline]] = []
+        gains: list[_Gain] = []
+        for worker in workers:
+            timeline = self._timeline(worker, now_s)
+            timelines.append((worker, timeline))
+            found = timeline.gains.get(demand)
+            if found is None:
+                found = tuple(self._gains(stage, worker, now_s))
+                timeline.gains[demand] = found
+            gains.extend(found)
+        gains.sort(key=attrgetter('time_s'))
+        if len(self._rankings) >= _MAX_RANKINGS:
+            self._rankings.clear()
+        ranking = _Ranking(
+            min(
+                (timeline.valid_until_s for _, timeline in timelines),
+                default=now_s,
+            ),
+            tuple(timelines),
+            tuple(gains),
+        )
+        self._rankings[demand] = ranking
+        return ranking.gains
+
     def _gains(
         self, stage: Stage, worker: WorkerState, now_s: float
     ) -> Iterator[_Gain]:
@@ -187,29 +301,10 @@
         return ends
 
 
-def _fewest(
-    stage: Stage,
-    gains: Sequence[_Gain],
-    needed_count: int,
-    max_workers: int,
-) -> tuple[WorkerState, ...]:
-    """Return the fewest workers that suffice, none if there are too few."""
-    counts: collections.defaultdict[WorkerState, int] = collections.defaultdict(
-        int,
-    )
-    for gain in gains:
-        counts[gain.worker] += gain.count
-    ranked = sorted(
-        counts.items(),
-        key=lambda counted: _preference(stage, *counted),
-    )
-    chosen: list[WorkerState] = []
-    for worker, count in ranked[:max_workers]:
-        if needed_count <= 0:
-            break
-        chosen.append(worker)
-        needed_count -= count
-    return tuple(chosen) if needed_count <= 0 else ()
+def _demand_of(stage: Stage) -> _Demand:
+    """Return what determines how many tasks of a stage fit on a worker."""
+    limit = stage.step.max_per_worker or stage.step.task_count
+    return stage.demand, min(limit, stage.step.task_count)
 
 
 def _preference(
--- a/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
@@ -90,6 +90,10 @@
 
 def fitting_count(stage: Stage, worker: WorkerState) -> int:
     """Return how many more tasks of a stage a worker may run now."""
+    # Most workers of a full fleet have too few free cores for a waiting gang.
+    needed_milli = stage.demand.cpu_milli
+    if needed_milli and worker.free.cpu_milli < needed_milli:
+        return 0
     count = worker.fitting_count(stage)
     limit = stage.step.max_per_worker
     if not limit:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -123,6 +123,8 @@
     :ivar allowed: answers of the placement service by worker.
     :ivar tickets: code and end of validity by worker.
     :ivar next_search_at_s: earliest time of the next search of all workers.
+    :ivar next_forecast_at_s: earliest time of the next forecast of its
+        capacity, after one without a result.
     :ivar advice_deadline_s: when the advice call in flight times out, 0 for
         none.
     :ivar advice_call_count: advice calls made so far.
@@ -176,6 +178,7 @@
     awaited_since_s: float = 0
     retry_at_s: float = 0
     next_search_at_s: float = 0
+    next_forecast_at_s: float = 0
     wait_began_s: float = 0
     last_boost_ended_at_s: float = 0
     log_after_s: float = _FIRST_LOG_S
--- a/packages/currantreach-jobs/src/currantreach_jobs/_reservations.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_reservations.py
@@ -24,6 +24,9 @@
 # Each scheduling round renews the reservations; the interval between rounds is
 # shorter than this.
 _RESERVATION_S = 0.3
+# A gang without a forecast goes over the expected ends of all runs, so it does
+# so less often than it searches.
+_FORECAST_PAUSE_S = 0.25
 
 
 class Reservations:
@@ -53,14 +56,22 @@
 
         :param workers: eligible workers.
         """
+        stage.expected_start_s = 0
+        max_workers = self._max_workers(workers, is_boosted)
+        if max_workers <= 0:
+            return None
+        if now_s < stage.next_forecast_at_s and not is_boosted:
+            return None
+        reservable = _reservable(stage, workers, now_s, is_boosted)
+        if not reservable:
+            return None
         forecast = self._forecasts.forecast(
-            stage,
-            _reservable(stage, workers, now_s, is_boosted),
-            min_start_count(stage),
-            self._max_workers(workers, is_boosted),
-            now_s,
+            stage, reservable, min_start_count(stage), max_workers, now_s
         )
-        stage.expected_start_s = forecast.start_s if forecast else 0
+        if forecast is None:
+            stage.next_forecast_at_s = now_s + _FORECAST_PAUSE_S
+        else:
+            stage.expected_start_s = forecast.start_s
         return forecast
 
     def reserve(
@@ -80,12 +91,15 @@
         """
         if stage.job_progress.is_past_deadline(now_s) and not is_boosted:
             return False
+        max_workers = self._max_workers(workers, is_boosted)
+        if max_workers <= 0:
+            return False
         reserved_workers: Sequence[WorkerState]
         if forecast is None:
             reserved_workers = _emptiest(
                 stage,
                 _reservable(stage, workers, now_s, is_boosted),
-                self._max_workers(workers, is_boosted),
+                max_workers,
             )
         else:
             reserved_workers = forecast.workers
