--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -125,6 +125,8 @@
     :ivar next_search_at_s: earliest time of the next search of all workers.
     :ivar next_forecast_at_s: earliest time of the next forecast of its
         capacity, after one without a result.
+    :ivar next_ahead_at_s: earliest time of the next look at a call ahead of
+        its start, after one with nothing to ask.
     :ivar advice_deadline_s: when the advice call in flight times out, 0 for
         none.
     :ivar advice_call_count: advice calls made so far.
@@ -179,6 +181,7 @@
     retry_at_s: float = 0
     next_search_at_s: float = 0
     next_forecast_at_s: float = 0
+    next_ahead_at_s: float = 0
     wait_began_s: float = 0
     last_boost_ended_at_s: float = 0
     log_after_s: float = _FIRST_LOG_S
