Renew tickets in cells of up to four daemons

Cause: renewals and calls ahead need three idle daemons of a class, and a class has two at most in a cell of up to four daemons, so none was ever made there.

Change: all daemons of a class have to be idle if it has fewer than three. Avoided daemons count as members, so an outage in a larger cell does not lower the number.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_advice.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_advice.py
@@ -43,7 +43,8 @@
 # Part of a ticket's validity that may pass before it reaches the worker.
 _TICKET_SLACK_S = 0.15
 # Calls that are not urgent are made only while this many daemons are idle, so
-# that the call of a stage that can start always finds one.
+# that the call of a stage that can start always finds one. In a small cell, all
+# daemons that send such calls have to be idle.
 _MIN_SPARE = 3
 
 
@@ -173,7 +174,9 @@
             if now_s >= self._busy_until_s[member]
             and not self._in_flight[member]
         )
-        return idle_count >= _MIN_SPARE
+        # Daemons that are avoided count, so that an outage does not lower this.
+        class_count = _class_size(len(self._coordinator.members))
+        return idle_count >= min(_MIN_SPARE, class_count)
 
     async def close(self) -> None:
         """Cancel all calls in flight."""
@@ -201,7 +204,7 @@
             self._responsive_members(now_s),
             key=lambda name: (self._round_trip_s(name), name),
         )
-        middle = (len(members) + 1) // 2
+        middle = _class_size(len(members))
         if duration_s >= _LONG_CALL_S:
             return members[len(members) - middle :]
         return members[:middle]
@@ -328,3 +331,8 @@
             AdviceReply,
             request.timeout_s + _TIMEOUT_S / 2,
         )
+
+
+def _class_size(member_count: int) -> int:
+    """Return how many daemons send the short, or the long, calls."""
+    return (member_count + 1) // 2
--- a/packages/currantreach-jobs/tests/test_tickets_in_time.py
+++ b/packages/currantreach-jobs/tests/test_tickets_in_time.py
@@ -363,3 +363,20 @@
         cell, None, None, ManualClock(100), lambda: None, Metrics()
     )
     assert dispatcher.has_spare_member(ADVICE)
+    dispatcher._in_flight['far2'] = 1
+    assert not dispatcher.has_spare_member(ADVICE)
+
+
+def test_outage_does_not_lower_the_number_of_idle_daemons():
+    """Calls that can wait must not take the daemons left in an outage.
+
+    With four of six daemons cut off, one daemon is left for the long calls.
+    """
+    dispatcher = AdviceDispatcher(
+        StubCell(), None, None, ManualClock(100), lambda: None, Metrics()
+    )
+    for member in ('far1', 'far2', 'far3', 'far4'):
+        dispatcher._avoid_until_s[member] = 103
+    assert not dispatcher.has_spare_member(ADVICE)
+    dispatcher._clock.advance(4)
+    assert dispatcher.has_spare_member(ADVICE)
