Keep the workers of a forecast when others become free

Cause: warm workers come first among those of a forecast, so further ones that become free within 0.1 s, or that are free already, could displace the cold ones that are needed within the limit on the workers. The forecast had no workers then, and the gang reserved nothing.

Change: if the workers that are free 0.1 s after the expected time do not suffice that way, those at the time itself are used, or else those that fit most tasks.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_capacity_forecast.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_capacity_forecast.py
@@ -12,7 +12,7 @@
 from currantreach_types import Resources
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable, Iterator
+    from collections.abc import Collection, Iterable, Iterator, Sequence
 
     from currantreach_jobs._cluster_state import ClusterState
     from currantreach_jobs._progress import Run, Stage
@@ -40,7 +40,8 @@
 
     :ivar start_s: expected time, not before the time of the forecast.
     :ivar is_free: whether the capacity is free already.
-    :ivar workers: the workers to use, those that fit most tasks first.
+    :ivar workers: the workers to use, at least one; where the limit on them
+        allows it, warm ones and then those that fit most tasks first.
     """
 
     start_s: float
@@ -129,14 +130,30 @@
     def fewest(
         self, stage: Stage, needed_count: int
     ) -> tuple[WorkerState, ...]:
-        """Return the fewest workers that suffice, none if there are too few.
+        """Return the fewest workers that suffice, warm ones first.
 
-        Warm workers are preferred.
+        :returns: none if too few tasks fit on those that come first.
         """
         ranked = sorted(
             self._counts.items(),
             key=lambda counted: _preference(stage, *counted),
         )
+        return self._first(ranked, needed_count)
+
+    def fullest(self, needed_count: int) -> tuple[WorkerState, ...]:
+        """Return the workers that fit most tasks, whether warm or cold.
+
+        :returns: none if too few tasks fit.
+        """
+        ranked = sorted(self._counts.items(), key=itemgetter(1), reverse=True)
+        return self._first(ranked, needed_count)
+
+    def _first(
+        self,
+        ranked: Sequence[tuple[WorkerState, int]],
+        needed_count: int,
+    ) -> tuple[WorkerState, ...]:
+        """Return as many of the first workers as suffice."""
         chosen: list[WorkerState] = []
         for worker, count in ranked[: self._max_workers]:
             if needed_count <= 0:
@@ -198,12 +215,15 @@
         start_s = selection.add_until(gains, needed_count)
         if start_s is None:
             return None
+        chosen = selection.fewest(stage, needed_count)
         if start_s:
             selection.add_before(gains, start_s + _TOLERANCE_S)
+            # Warm workers that are added may displace those that suffice.
+            chosen = selection.fewest(stage, needed_count) or chosen
         return CapacityForecast(
             start_s=max(now_s, start_s),
             is_free=not start_s,
-            workers=selection.fewest(stage, needed_count),
+            workers=chosen or selection.fullest(needed_count),
         )
 
     def end_s(self, run: Run, now_s: float) -> float | None:
--- a/packages/currantreach-jobs/tests/test_reservations.py
+++ b/packages/currantreach-jobs/tests/test_reservations.py
@@ -363,3 +363,27 @@
         gang, cluster.workers.values(), 2, 1, offline.clock.now_s()
     )
     assert [worker.report.worker_id for worker in forecast.workers] == ['w1']
+
+
+def test_forecast_uses_a_cold_worker_beside_a_warm_one(offline, job, reports):
+    """A forecast must have workers if warm ones alone are too many.
+
+    The two warm workers that come first fit two of three tasks.
+    """
+    cluster = offline.cluster
+    fleet = Fleet(offline, job)
+    cold = attrs.evolve(reports[0], worker_id='w3', cold_remaining_s=60)
+    offline.add_workers([cold])
+    fleet.occupy('r1', 'w1', HALF, 1)
+    fleet.occupy('r2', 'w1', HALF, 9)
+    fleet.occupy('r3', 'w2', HALF, 2)
+    fleet.occupy('r4', 'w2', HALF, 9)
+    fleet.occupy('r5', 'w3', WHOLE, 3)
+    gang = fleet.add('gang', 3, needed=HALF, is_gang=True, estimate_s=4)
+    forecast = ForecastCalculator(cluster).forecast(
+        gang, cluster.workers.values(), 3, 2, offline.clock.now_s()
+    )
+    assert forecast.start_s == pytest.approx(NOW_S + 3)
+    names = [worker.report.worker_id for worker in forecast.workers]
+    assert len(names) == 2
+    assert 'w3' in names
