Learn run times far above the declared ones

Runs of more than 100 times the expected duration were dropped as measured wrongly, also where the expectation was only the declared duration. So work of 150 s with the default of 1 s was never learned, nor were 300 runs of 2 s with 15 ms declared.

The second of two such runs in a row of a team in a queue now counts if it agrees with the first within a factor of 7. It teaches nothing about its worker.

299 of the 300 runs are learned. Single absurd times still teach nothing.

--- a/packages/currantreach-durations/src/currantreach_durations/_lengths.py
+++ b/packages/currantreach-durations/src/currantreach_durations/_lengths.py
@@ -20,6 +20,7 @@
 
 __all__ = (
     'MAX_NAME_LENGTH',
+    'MAX_TEAMS',
     'USUAL_VARIANCE',
     'Prediction',
     'QueueState',
@@ -44,6 +45,9 @@
 # The first ratios of a queue count in full: before them it is not known how far
 # its declared durations are off.
 _UNCLIPPED_RUNS = 8
+# Weight of a run that confirms that the declared durations of a queue without
+# more runs are far off: it outweighs the prior, and later runs may correct it.
+_CONFIRMED_RUNS = 4
 # Later deviations count up to this multiple of their spread, because three runs
 # in a hundred take seven times as long as the rest. Several siblings that agree
 # are no such exception, so the first ones count in full for their step.
@@ -59,7 +63,7 @@
 # Keys of unusual length would exceed the memory that the limits stand for.
 MAX_NAME_LENGTH: Final = 100
 _MAX_QUEUES = 64
-_MAX_TEAMS = 512
+MAX_TEAMS: Final = 512
 # Sixty steps end in a second on a large fleet, and their siblings within a few
 # seconds.
 _MAX_STEPS = 768
@@ -173,7 +177,7 @@
         self.queues: BoundedStates[str, QueueState]
         self.teams: BoundedStates[tuple[str, str], Average]
         self.queues = BoundedStates(_MAX_QUEUES, QueueState)
-        self.teams = BoundedStates(_MAX_TEAMS, Average)
+        self.teams = BoundedStates(MAX_TEAMS, Average)
         self.steps: BoundedStates[str, Average]
         self.steps = BoundedStates(_MAX_STEPS, Average)
 
@@ -238,7 +242,35 @@
             if siblings >= _UNCLIPPED_SIBLINGS:
                 step_log = length_log
         # All siblings share the deviation of their step from its estimate.
-        weight = 1 / (1 + siblings)
+        self._add(work, queue, length_log, 1 / (1 + siblings))
+        self._add_to_step(work, step_log)
+
+    def learn_confirmed(
+        self,
+        work: Work,
+        length_log: float,
+        prediction: Prediction,
+    ) -> None:
+        """Learn from the second of two runs that took far too long.
+
+        In the first runs of a queue its deviation is that of the declared
+        durations, so it does not count for the spread.
+        """
+        if prediction.queue_run_count > _UNCLIPPED_RUNS:
+            self.learn(work, length_log, prediction)
+            return
+        queue = self.queues.use(work.queue)
+        self._add(work, queue, length_log, _CONFIRMED_RUNS)
+        self._add_to_step(work, length_log)
+
+    def _add(
+        self,
+        work: Work,
+        queue: QueueState,
+        length_log: float,
+        weight: float,
+    ) -> None:
+        """Add a run to the averages of its queue and its team."""
         if work.has_declared:
             ratio_log = length_log - math.log(work.declared_s)
             queue.ratio_log.add(ratio_log, _MAX_RUNS, weight)
@@ -247,6 +279,8 @@
                 team.add(ratio_log, _MAX_RUNS, weight)
         else:
             queue.length_log.add(length_log, _MAX_RUNS, weight)
+
+    def _add_to_step(self, work: Work, step_log: float) -> None:
         if work.step_id and len(work.step_id) <= MAX_NAME_LENGTH:
             self.steps.use(work.step_id).add(step_log, _MAX_STEP_RUNS)
 
--- a/packages/currantreach-durations/src/currantreach_durations/_model.py
+++ b/packages/currantreach-durations/src/currantreach_durations/_model.py
@@ -6,7 +6,12 @@
 from typing import TYPE_CHECKING
 
 from currantreach_durations._bounded import Average
-from currantreach_durations._lengths import MAX_NAME_LENGTH, StepLengths
+from currantreach_durations._doubts import DoubtfulRuns
+from currantreach_durations._lengths import (
+    MAX_NAME_LENGTH,
+    MAX_TEAMS,
+    StepLengths,
+)
 from currantreach_durations._records import (
     DurationRecord,
     QueueRecord,
@@ -28,7 +33,8 @@
 _MIN_RUN_S = 0.001
 _MAX_RUN_S = 3600
 # A run that takes this many times longer than expected was measured wrongly,
-# for example because a host was suspended.
+# for example because a host was suspended, unless the next one agrees with it:
+# then the declared duration is far off, or the queue has changed.
 _MAX_FACTOR = 100
 # 0.9 quantile of the standard normal distribution.
 _TAIL_QUANTILE = 1.2816
@@ -57,6 +63,7 @@
         """Start without runs."""
         self._lengths = StepLengths()
         self._speeds = WorkerSpeeds()
+        self._doubts = DoubtfulRuns(MAX_TEAMS)
         self._last_end_s: float = 0
 
     def learn(self, run: FinishedRun) -> bool:
@@ -71,7 +78,8 @@
                 run.worker_id, run.ended_at_s
             )
             if run_log > expected_log + math.log(_MAX_FACTOR):
-                return False
+                return self._learn_doubtful(run, run_log, prediction)
+            self._doubts.clear(run.work)
             self._learn_speed(run, run_log, prediction)
         self._last_end_s = run.ended_at_s
         worker_log = self._speeds.relative_log(run.worker_id, run.ended_at_s)
@@ -165,6 +173,25 @@
             + self._restore_workers(record.slowdowns, now_s)
         )
 
+    def _learn_doubtful(
+        self,
+        run: FinishedRun,
+        run_log: float,
+        prediction: Prediction,
+    ) -> bool:
+        """Learn from a run that took far too long if it is not the first.
+
+        It tells nothing about its worker.
+        """
+        if not self._doubts.confirm(run.work, run_log):
+            return False
+        self._last_end_s = run.ended_at_s
+        worker_log = self._speeds.relative_log(run.worker_id, run.ended_at_s)
+        self._lengths.learn_confirmed(
+            run.work, run_log - worker_log, prediction
+        )
+        return True
+
     def _learn_speed(
         self,
         run: FinishedRun,
--- a/packages/currantreach-durations/tests/test_model.py
+++ b/packages/currantreach-durations/tests/test_model.py
@@ -300,6 +300,61 @@
     assert (model.estimate(declared(1), 30), model.key_counts()) == before
 
 
+@pytest.mark.parametrize('run_s', [2, 60, 3000])
+@pytest.mark.parametrize('has_siblings', [False, True])
+def test_declared_duration_that_is_far_off_is_corrected(run_s, has_siblings):
+    """Work that is declared with a default would never be learned.
+
+    Of 300 runs of 2 s with 15 ms declared, none was learned, as each took more
+    than a hundred times the declared duration.
+    """
+    model = DurationModel()
+    learned_count = 0
+    for number in range(300):
+        step_id = f'step-{number // 3}' if has_siblings else ''
+        run = FinishedRun(declared(0.015, step_id), 'w1', run_s, number)
+        learned_count += model.learn(run)
+    assert learned_count == 299
+    estimate = model.estimate(declared(0.015), 300)
+    assert estimate.mean_s == pytest.approx(run_s, rel=0.25)
+
+
+@pytest.mark.parametrize('count', [1, 30])
+def test_queue_that_becomes_far_longer_is_followed(count):
+    """One short run would keep a queue from learning its real duration."""
+    model = DurationModel()
+    for number in range(count + 600):
+        worker_id = f'w{number % 8}'
+        run_s = 1 if number < count else 150
+        model.learn(FinishedRun(declared(1), worker_id, run_s, number))
+    estimate = model.estimate(declared(1), 700)
+    assert estimate.mean_s == pytest.approx(150, rel=0.25)
+
+
+@pytest.mark.parametrize('others', [(1,), (1, 1, 1)])
+def test_single_absurd_times_teach_nothing(others):
+    """Hosts that are suspended now and then would make a queue longer."""
+    model = DurationModel()
+    for number in range(30):
+        model.learn(FinishedRun(declared(1), 'w1', 1, number))
+    for further in range(30, 60):
+        assert not model.learn(FinishedRun(declared(1), 'w1', 3000, further))
+        for run_s in others:
+            assert model.learn(FinishedRun(declared(1), 'w1', run_s, further))
+    assert model.estimate(declared(1), 60).mean_s < 1.2
+    assert model.slowdown('w1', 60) == 1
+
+
+def test_absurd_times_that_disagree_teach_nothing():
+    """Two suspensions in a row would count as a change of the queue."""
+    model = DurationModel()
+    model.learn(FinishedRun(declared(1), 'w1', 1, 1))
+    before = model.estimate(declared(1), 2)
+    for run_s in (150, 3000, 150):
+        assert not model.learn(FinishedRun(declared(1), 'w1', run_s, 2))
+    assert model.estimate(declared(1), 2) == before
+
+
 @given(
     st.lists(
         st.tuples(
