Make the limits of the duration model parameters

The model kept 64 queues and learned from runs of an hour at most. These limits fit the leader of jobs.

The limits are now the parameter ModelLimits, with the present values as defaults. Owners keep 4,096 workloads and teams and learn from runs of up to 30 days.

--- a/packages/currantreach-decisions/src/currantreach_decisions/_estimates.py
+++ b/packages/currantreach-decisions/src/currantreach_decisions/_estimates.py
@@ -8,7 +8,7 @@
 import attrs
 
 from currantreach_decisions._ledger import EMPTY
-from currantreach_durations import DurationModel, FinishedRun, Work
+from currantreach_durations import DurationModel, FinishedRun, ModelLimits, Work
 from currantreach_types import Resources
 
 if TYPE_CHECKING:
@@ -19,6 +19,16 @@
 __all__ = ('Estimator', 'TaskSizer')
 
 _ESTIMATE_LIMIT = 4096
+# Batch tasks run for days; a run above 30 days was measured wrongly.
+_MAX_RUN_S = 2592000
+# A workload is the queue of its runs. The defaults are for sites with a few
+# queues and tasks of seconds.
+_DURATION_LIMITS = ModelLimits(
+    max_queues=_ESTIMATE_LIMIT,
+    max_teams=_ESTIMATE_LIMIT,
+    max_doubts=_ESTIMATE_LIMIT,
+    max_run_s=_MAX_RUN_S,
+)
 # A size rises by 18 % when a task used more and falls by 2 % otherwise, so it
 # converges to the 90th percentile: one task in ten uses more.
 _RISE = 1.18
@@ -39,7 +49,7 @@
         """Start without estimates."""
         self._estimates: collections.OrderedDict[tuple[str, str], _SizeEstimate]
         self._estimates = collections.OrderedDict()
-        self._durations = DurationModel()
+        self._durations = DurationModel(_DURATION_LIMITS)
 
     def size(self, spec: TaskSpec) -> Resources:
         """Return the larger of the declared and the estimated size."""
--- a/packages/currantreach-decisions/tests/test_estimates.py
+++ b/packages/currantreach-decisions/tests/test_estimates.py
@@ -80,3 +80,16 @@
         for task in tasks:
             estimator.learn_run(task, 104)
     assert all(estimator.run_s(task.spec) > 2 for task in tasks)
+
+
+@pytest.mark.parametrize('run_s', [4000, 86400])
+def test_run_times_above_one_hour_are_learned(make_task, run_s):
+    """Tasks of hours would keep their declared run time.
+
+    Runs of more than an hour were dropped, which holds for jobs only.
+    """
+    estimator = Estimator()
+    task = make_task()
+    for _ in range(30):
+        estimator.learn_run(task, 100 + run_s)
+    assert estimator.run_s(task.spec) == pytest.approx(run_s, rel=0.2)
--- a/packages/currantreach-durations/src/currantreach_durations/__init__.py
+++ b/packages/currantreach-durations/src/currantreach_durations/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from currantreach_durations._limits import ModelLimits
 from currantreach_durations._model import DurationModel
 from currantreach_durations._records import (
     DurationRecord,
@@ -15,6 +16,7 @@
     'DurationRecord',
     'Estimate',
     'FinishedRun',
+    'ModelLimits',
     'QueueRecord',
     'TeamRecord',
     'Work',
--- a/packages/currantreach-durations/src/currantreach_durations/_doubts.py
+++ b/packages/currantreach-durations/src/currantreach_durations/_doubts.py
@@ -28,10 +28,10 @@
     one was measured wrongly, for example because a host was suspended.
     """
 
-    def __init__(self, max_teams: int) -> None:
+    def __init__(self, max_doubts: int) -> None:
         """Start without runs."""
         self._ratio_logs: BoundedStates[tuple[str, str], Average]
-        self._ratio_logs = BoundedStates(max_teams, Average)
+        self._ratio_logs = BoundedStates(max_doubts, Average)
 
     def confirm(self, work: Work, run_log: float) -> bool:
         """Note a doubtful run; tell whether the one before agrees with it."""
--- a/packages/currantreach-durations/src/currantreach_durations/_lengths.py
+++ b/packages/currantreach-durations/src/currantreach_durations/_lengths.py
@@ -16,11 +16,11 @@
 if TYPE_CHECKING:
     from typing import Final
 
+    from currantreach_durations._limits import ModelLimits
     from currantreach_durations._work import Work
 
 __all__ = (
     'MAX_NAME_LENGTH',
-    'MAX_TEAMS',
     'USUAL_VARIANCE',
     'Prediction',
     'QueueState',
@@ -62,11 +62,6 @@
 _MAX_VARIANCE = 2
 # Keys of unusual length would exceed the memory that the limits stand for.
 MAX_NAME_LENGTH: Final = 100
-_MAX_QUEUES = 64
-MAX_TEAMS: Final = 512
-# Sixty steps end in a second on a large fleet, and their siblings within a few
-# seconds.
-_MAX_STEPS = 768
 
 
 @attrs.define(slots=True, eq=False, weakref_slot=False)
@@ -172,14 +167,14 @@
 class StepLengths:
     """Lengths of steps, from their runs, their teams and their queues."""
 
-    def __init__(self) -> None:
+    def __init__(self, limits: ModelLimits) -> None:
         """Start without runs."""
         self.queues: BoundedStates[str, QueueState]
         self.teams: BoundedStates[tuple[str, str], Average]
-        self.queues = BoundedStates(_MAX_QUEUES, QueueState)
-        self.teams = BoundedStates(MAX_TEAMS, Average)
+        self.queues = BoundedStates(limits.max_queues, QueueState)
+        self.teams = BoundedStates(limits.max_teams, Average)
         self.steps: BoundedStates[str, Average]
-        self.steps = BoundedStates(_MAX_STEPS, Average)
+        self.steps = BoundedStates(limits.max_steps, Average)
 
     def predict(self, work: Work) -> Prediction | None:
         """Return the predicted length, or ``None`` without any source."""
--- a/packages/currantreach-durations/src/currantreach_durations/_model.py
+++ b/packages/currantreach-durations/src/currantreach_durations/_model.py
@@ -7,11 +7,8 @@
 
 from currantreach_durations._bounded import Average
 from currantreach_durations._doubts import DoubtfulRuns
-from currantreach_durations._lengths import (
-    MAX_NAME_LENGTH,
-    MAX_TEAMS,
-    StepLengths,
-)
+from currantreach_durations._lengths import MAX_NAME_LENGTH, StepLengths
+from currantreach_durations._limits import ModelLimits
 from currantreach_durations._records import (
     DurationRecord,
     QueueRecord,
@@ -31,7 +28,6 @@
 
 # Shorter times are those of the calls around a run.
 _MIN_RUN_S = 0.001
-_MAX_RUN_S = 3600
 # A run that takes this many times longer than expected was measured wrongly,
 # for example because a host was suspended, unless the next one agrees with it:
 # then the declared duration is far off, or the queue has changed.
@@ -57,18 +53,22 @@
     The duration of a run is the product of the length of its step, the
     slowdown of its worker and noise. The model has no clock: callers pass
     the times of one clock.
+
+    :param limits: what it keeps and learns from.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, limits: ModelLimits | None = None) -> None:
         """Start without runs."""
-        self._lengths = StepLengths()
-        self._speeds = WorkerSpeeds()
-        self._doubts = DoubtfulRuns(MAX_TEAMS)
+        limits = limits or ModelLimits()
+        self._max_run_s = limits.max_run_s
+        self._lengths = StepLengths(limits)
+        self._speeds = WorkerSpeeds(limits.max_workers)
+        self._doubts = DoubtfulRuns(limits.max_doubts)
         self._last_end_s: float = 0
 
     def learn(self, run: FinishedRun) -> bool:
         """Learn from a run; return whether it taught anything."""
-        is_measured = 0 < run.run_s <= _MAX_RUN_S
+        is_measured = 0 < run.run_s <= self._max_run_s
         if not is_measured or not math.isfinite(run.ended_at_s):
             return False
         run_log = math.log(max(_MIN_RUN_S, run.run_s))
--- a/packages/currantreach-durations/src/currantreach_durations/_speeds.py
+++ b/packages/currantreach-durations/src/currantreach_durations/_speeds.py
@@ -16,7 +16,6 @@
 
 __all__ = ('WorkerSpeeds',)
 
-_MAX_WORKERS = 768
 # A worker counts as usual until its runs outweigh two of a usual worker.
 _PRIOR_RUNS = 2
 # With this many runs a factor of 1.3 differs from 1 by more than its noise;
@@ -117,10 +116,10 @@
 class WorkerSpeeds:
     """Speeds of all known workers; the median of them is the usual one."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_workers: int) -> None:
         """Start without workers."""
         self._speeds: BoundedStates[str, _Speed]
-        self._speeds = BoundedStates(_MAX_WORKERS, _Speed)
+        self._speeds = BoundedStates(max_workers, _Speed)
         self._usual_log: float = 0
         self._noise_multiple: float = _CERTAIN_MULTIPLE
         self._learned_since_median = 0
--- a/packages/currantreach-durations/tests/test_model.py
+++ b/packages/currantreach-durations/tests/test_model.py
@@ -16,6 +16,7 @@
     DurationRecord,
     Estimate,
     FinishedRun,
+    ModelLimits,
     QueueRecord,
     TeamRecord,
     Work,
@@ -26,6 +27,7 @@
 SPREAD = 0.28
 DECLARED_SPREAD = 0.35
 MEBIBYTE = 2**20
+MEGABYTE = 10**6
 ODD_TIMES = st.sampled_from([0, -1, math.nan, math.inf, -math.inf, 3601, 1e300])
 FACTORS = st.floats(0.1, 10)
 
@@ -396,11 +398,11 @@
     assert fleet.slowdowns()['w3'] == 1
 
 
-def learn_many_keys(model):
+def learn_many_keys(model, queue_count=60):
     """Teach a model more keys than it may keep."""
     for number in range(6000):
         work = Work(
-            queue=f'queue-{number % 60:030d}',
+            queue=f'queue-{number % queue_count:030d}',
             team=f'team-{number:030d}',
             step_id=f'job-{number:060d}.0',
             declared_s=1,
@@ -409,6 +411,57 @@
         model.learn(FinishedRun(work, worker_id, 1, number / 1000))
 
 
+def learn_doubtful_runs(model):
+    """Teach a model more implausible times than it may keep."""
+    for number in range(6000):
+        work = declared(0.001, '', f'meadow-{number:030d}', f'{number:036d}')
+        model.learn(FinishedRun(work, '', 100, 6))
+
+
+def learn_all_kinds(model):
+    """Teach a model more keys of all kinds than it may keep."""
+    learn_many_keys(model)
+    learn_many_keys(model, queue_count=6000)
+    learn_doubtful_runs(model)
+
+
+@pytest.mark.parametrize(
+    ('limits', 'most_bytes'),
+    [
+        (ModelLimits(), MEGABYTE),
+        (
+            ModelLimits(max_queues=4096, max_teams=4096, max_doubts=4096),
+            8 * MEGABYTE,
+        ),
+    ],
+)
+def test_memory_follows_the_limits(limits, most_bytes):
+    """All kinds of keys together would exceed the memory of a daemon."""
+    tracemalloc.start()
+    try:
+        before = tracemalloc.get_traced_memory()[0]
+        model = DurationModel(limits)
+        learn_all_kinds(model)
+        used = tracemalloc.get_traced_memory()[0] - before
+    finally:
+        tracemalloc.stop()
+    assert model.key_counts() == {
+        'queues': limits.max_queues,
+        'teams': limits.max_teams,
+        'steps': limits.max_steps,
+        'workers': limits.max_workers,
+    }
+    assert used < most_bytes
+
+
+@pytest.mark.parametrize(('run_s', 'is_learned'), [(7200, True), (7201, False)])
+def test_longest_run_is_a_limit(run_s, is_learned):
+    """Runs above one hour were not learned where tasks take hours."""
+    model = DurationModel(ModelLimits(max_run_s=7200))
+    run = FinishedRun(declared(3600), 'w1', run_s, 1)
+    assert model.learn(run) == is_learned
+
+
 def test_memory_is_bounded():
     """Names that callers choose would exhaust the memory of a daemon."""
     tracemalloc.start()
