Tell the speeds of workers after fewer runs

A worker of a lasting speed counted as usual for 23 runs at the median. The lower multiple of the noise (4) held only once a tenth of the workers differed by the higher one (6.5), which no worker of speed 0.6 or 1.6 does before some 20 runs.

The lower multiple now holds once a tenth of the workers, and at least two, differ by the lower one.

--- a/packages/currantreach-durations/src/currantreach_durations/_speeds.py
+++ b/packages/currantreach-durations/src/currantreach_durations/_speeds.py
@@ -24,10 +24,13 @@
 # With 4.5 times the noise, 2 of 25 simulated fleets of equal workers had a slow
 # one now and then, as the errors of declared durations add to the noise.
 _CERTAIN_MULTIPLE = 6.5
-# Where a tenth of the workers certainly differ, others are likely to, and half
-# as many runs suffice to tell.
+# Where a tenth of the workers, and at least two, are likely to differ, this
+# multiple is enough for all of them. Waiting for the first ones to differ
+# certainly took 23 runs of a worker instead of 13, and gave as many wrong
+# slowdowns in simulated fleets of equal workers.
 _LIKELY_MULTIPLE = 4
 _DIFFERING_DIVISOR = 10
+_MIN_DIFFERING = 2
 # Smaller differences matter less than the spread of a single run.
 _MIN_SLOWDOWN = 1.2
 # Workers turn slow for 6 s, so what was learned holds fully for a moment and is
@@ -264,9 +267,11 @@
         differing = [
             speed
             for speed in known
-            if self._noise_ratio(speed, run_counts[speed]) >= _CERTAIN_MULTIPLE
+            if self._noise_ratio(speed, run_counts[speed]) >= _LIKELY_MULTIPLE
         ]
-        is_mixed = len(differing) * _DIFFERING_DIVISOR > len(known)
+        is_mixed = len(differing) >= _MIN_DIFFERING and len(
+            differing
+        ) * _DIFFERING_DIVISOR > len(known)
         self._noise_multiple = (
             _LIKELY_MULTIPLE if is_mixed else _CERTAIN_MULTIPLE
         )
--- a/packages/currantreach-durations/tests/test_model.py
+++ b/packages/currantreach-durations/tests/test_model.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import collections
 import math
 import random
+import statistics
 import tracemalloc
 
 import attrs
@@ -79,6 +81,19 @@
         }
 
 
+@attrs.define
+class CountingFleet(Fleet):
+    """Fleet that counts the runs of each worker while it counts as usual."""
+
+    usual_runs: collections.Counter = attrs.field(factory=collections.Counter)
+
+    def finish(self, work, worker_id, length_s):
+        """End one run."""
+        if self.model.slowdown(worker_id, self.now_s) == 1:
+            self.usual_runs[worker_id] += 1
+        super().finish(work, worker_id, length_s)
+
+
 def equal_workers(count=12):
     """Return the speeds of a fleet of equal workers."""
     return {f'w{number}': 1 for number in range(count)}
@@ -114,6 +129,25 @@
     assert estimate.mean_s == pytest.approx(2, rel=0.25)
 
 
+@pytest.mark.parametrize('seed', range(5))
+def test_lasting_speeds_are_known_after_few_runs(seed):
+    """Workers of other speeds would be taken for usual ones for too long.
+
+    It took 23 runs at the median until the slowdown of a worker was known.
+    """
+    kinds = (0.6, 1, 1, 1.6)
+    speeds = {f'w{number}': kinds[number % 4] for number in range(40)}
+    fleet = CountingFleet(random.Random(seed), speeds)
+    for _ in range(700):
+        fleet.run_job()
+    median = statistics.median(
+        fleet.usual_runs[worker_id]
+        for worker_id, speed in speeds.items()
+        if speed != 1
+    )
+    assert median < 18
+
+
 @pytest.mark.parametrize('seed', range(10))
 def test_equal_workers_have_exactly_the_usual_speed(warm, seed):
     """Noise taken for speed would change the order of equal workers."""
