--- a/packages/currantreach-durations/src/currantreach_durations/_model.py
+++ b/packages/currantreach-durations/src/currantreach_durations/_model.py
@@ -6,7 +6,9 @@
 from typing import TYPE_CHECKING
 
 from currantreach_durations._bounded import Average
+from currantreach_durations._doubts import DoubtfulRuns
 from currantreach_durations._lengths import MAX_NAME_LENGTH, StepLengths
+from currantreach_durations._limits import ModelLimits
 from currantreach_durations._records import (
     DurationRecord,
     QueueRecord,
@@ -26,9 +28,9 @@
 
 # Shorter times are those of the calls around a run.
 _MIN_RUN_S = 0.001
-_MAX_RUN_S = 3600
 # A run that takes this many times longer than expected was measured wrongly,
-# for example because a host was suspended.
+# for example because a host was suspended, unless the next one agrees with it:
+# then the declared duration is far off, or the queue has changed.
 _MAX_FACTOR = 100
 # 0.9 quantile of the standard normal distribution.
 _TAIL_QUANTILE = 1.2816
@@ -51,17 +53,22 @@
     The duration of a run is the product of the length of its step, the
     slowdown of its worker and noise. The model has no clock: callers pass
     the times of one clock.
+
+    :param limits: what it keeps and learns from.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, limits: ModelLimits | None = None) -> None:
         """Start without runs."""
-        self._lengths = StepLengths()
-        self._speeds = WorkerSpeeds()
+        limits = limits or ModelLimits()
+        self._max_run_s = limits.max_run_s
+        self._lengths = StepLengths(limits)
+        self._speeds = WorkerSpeeds(limits.max_workers)
+        self._doubts = DoubtfulRuns(limits.max_doubts)
         self._last_end_s: float = 0
 
     def learn(self, run: FinishedRun) -> bool:
         """Learn from a run; return whether it taught anything."""
-        is_measured = 0 < run.run_s <= _MAX_RUN_S
+        is_measured = 0 < run.run_s <= self._max_run_s
         if not is_measured or not math.isfinite(run.ended_at_s):
             return False
         run_log = math.log(max(_MIN_RUN_S, run.run_s))
@@ -71,7 +78,8 @@
                 run.worker_id, run.ended_at_s
             )
             if run_log > expected_log + math.log(_MAX_FACTOR):
-                return False
+                return self._learn_doubtful(run, run_log, prediction)
+            self._doubts.clear(run.work)
             self._learn_speed(run, run_log, prediction)
         self._last_end_s = run.ended_at_s
         worker_log = self._speeds.relative_log(run.worker_id, run.ended_at_s)
@@ -165,6 +173,25 @@
             + self._restore_workers(record.slowdowns, now_s)
         )
 
+    def _learn_doubtful(
+        self,
+        run: FinishedRun,
+        run_log: float,
+        prediction: Prediction,
+    ) -> bool:
+        """Learn from a run that took far too long if it is not the first.
+
+        It tells nothing about its worker.
+        """
+        if not self._doubts.confirm(run.work, run_log):
+            return False
+        self._last_end_s = run.ended_at_s
+        worker_log = self._speeds.relative_log(run.worker_id, run.ended_at_s)
+        self._lengths.learn_confirmed(
+            run.work, run_log - worker_log, prediction
+        )
+        return True
+
     def _learn_speed(
         self,
         run: FinishedRun,
--- a/packages/currantreach-durations/tests/test_model.py
+++ b/packages/currantreach-durations/tests/test_model.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import collections
 import math
 import random
+import statistics
 import tracemalloc
 
 import attrs
@@ -16,6 +18,7 @@
     DurationRecord,
     Estimate,
     FinishedRun,
+    ModelLimits,
     QueueRecord,
     TeamRecord,
     Work,
@@ -26,6 +29,7 @@
 SPREAD = 0.28
 DECLARED_SPREAD = 0.35
 MEBIBYTE = 2**20
+MEGABYTE = 10**6
 ODD_TIMES = st.sampled_from([0, -1, math.nan, math.inf, -math.inf, 3601, 1e300])
 FACTORS = st.floats(0.1, 10)
 
@@ -77,6 +81,19 @@
         }
 
 
+@attrs.define
+class CountingFleet(Fleet):
+    """Fleet that counts the runs of each worker while it counts as usual."""
+
+    usual_runs: collections.Counter = attrs.field(factory=collections.Counter)
+
+    def finish(self, work, worker_id, length_s):
+        """End one run."""
+        if self.model.slowdown(worker_id, self.now_s) == 1:
+            self.usual_runs[worker_id] += 1
+        super().finish(work, worker_id, length_s)
+
+
 def equal_workers(count=12):
     """Return the speeds of a fleet of equal workers."""
     return {f'w{number}': 1 for number in range(count)}
@@ -112,6 +129,25 @@
     assert estimate.mean_s == pytest.approx(2, rel=0.25)
 
 
+@pytest.mark.parametrize('seed', range(5))
+def test_lasting_speeds_are_known_after_few_runs(seed):
+    """Workers of other speeds would be taken for usual ones for too long.
+
+    It took 23 runs at the median until the slowdown of a worker was known.
+    """
+    kinds = (0.6, 1, 1, 1.6)
+    speeds = {f'w{number}': kinds[number % 4] for number in range(40)}
+    fleet = CountingFleet(random.Random(seed), speeds)
+    for _ in range(700):
+        fleet.run_job()
+    median = statistics.median(
+        fleet.usual_runs[worker_id]
+        for worker_id, speed in speeds.items()
+        if speed != 1
+    )
+    assert median < 18
+
+
 @pytest.mark.parametrize('seed', range(10))
 def test_equal_workers_have_exactly_the_usual_speed(warm, seed):
     """Noise taken for speed would change the order of equal workers."""
@@ -300,6 +336,61 @@
     assert (model.estimate(declared(1), 30), model.key_counts()) == before
 
 
+@pytest.mark.parametrize('run_s', [2, 60, 3000])
+@pytest.mark.parametrize('has_siblings', [False, True])
+def test_declared_duration_that_is_far_off_is_corrected(run_s, has_siblings):
+    """Work that is declared with a default would never be learned.
+
+    Of 300 runs of 2 s with 15 ms declared, none was learned, as each took more
+    than a hundred times the declared duration.
+    """
+    model = DurationModel()
+    learned_count = 0
+    for number in range(300):
+        step_id = f'step-{number // 3}' if has_siblings else ''
+        run = FinishedRun(declared(0.015, step_id), 'w1', run_s, number)
+        learned_count += model.learn(run)
+    assert learned_count == 299
+    estimate = model.estimate(declared(0.015), 300)
+    assert estimate.mean_s == pytest.approx(run_s, rel=0.25)
+
+
+@pytest.mark.parametrize('count', [1, 30])
+def test_queue_that_becomes_far_longer_is_followed(count):
+    """One short run would keep a queue from learning its real duration."""
+    model = DurationModel()
+    for number in range(count + 600):
+        worker_id = f'w{number % 8}'
+        run_s = 1 if number < count else 150
+        model.learn(FinishedRun(declared(1), worker_id, run_s, number))
+    estimate = model.estimate(declared(1), 700)
+    assert estimate.mean_s == pytest.approx(150, rel=0.25)
+
+
+@pytest.mark.parametrize('others', [(1,), (1, 1, 1)])
+def test_single_absurd_times_teach_nothing(others):
+    """Hosts that are suspended now and then would make a queue longer."""
+    model = DurationModel()
+    for number in range(30):
+        model.learn(FinishedRun(declared(1), 'w1', 1, number))
+    for further in range(30, 60):
+        assert not model.learn(FinishedRun(declared(1), 'w1', 3000, further))
+        for run_s in others:
+            assert model.learn(FinishedRun(declared(1), 'w1', run_s, further))
+    assert model.estimate(declared(1), 60).mean_s < 1.2
+    assert model.slowdown('w1', 60) == 1
+
+
+def test_absurd_times_that_disagree_teach_nothing():
+    """Two suspensions in a row would count as a change of the queue."""
+    model = DurationModel()
+    model.learn(FinishedRun(declared(1), 'w1', 1, 1))
+    before = model.estimate(declared(1), 2)
+    for run_s in (150, 3000, 150):
+        assert not model.learn(FinishedRun(declared(1), 'w1', run_s, 2))
+    assert model.estimate(declared(1), 2) == before
+
+
 @given(
     st.lists(
         st.tuples(
@@ -341,11 +432,11 @@
     assert fleet.slowdowns()['w3'] == 1
 
 
-def learn_many_keys(model):
+def learn_many_keys(model, queue_count=60):
     """Teach a model more keys than it may keep."""
     for number in range(6000):
         work = Work(
-            queue=f'queue-{number % 60:030d}',
+            queue=f'queue-{number % queue_count:030d}',
             team=f'team-{number:030d}',
             step_id=f'job-{number:060d}.0',
             declared_s=1,
@@ -354,6 +445,57 @@
         model.learn(FinishedRun(work, worker_id, 1, number / 1000))
 
 
+def learn_doubtful_runs(model):
+    """Teach a model more implausible times than it may keep."""
+    for number in range(6000):
+        work = declared(0.001, '', f'meadow-{number:030d}', f'{number:036d}')
+        model.learn(FinishedRun(work, '', 100, 6))
+
+
+def learn_all_kinds(model):
+    """Teach a model more keys of all kinds than it may keep."""
+    learn_many_keys(model)
+    learn_many_keys(model, queue_count=6000)
+    learn_doubtful_runs(model)
+
+
+@pytest.mark.parametrize(
+    ('limits', 'most_bytes'),
+    [
+        (ModelLimits(), MEGABYTE),
+        (
+            ModelLimits(max_queues=4096, max_teams=4096, max_doubts=4096),
+            8 * MEGABYTE,
+        ),
+    ],
+)
+def test_memory_follows_the_limits(limits, most_bytes):
+    """All kinds of keys together would exceed the memory of a daemon."""
+    tracemalloc.start()
+    try:
+        before = tracemalloc.get_traced_memory()[0]
+        model = DurationModel(limits)
+        learn_all_kinds(model)
+        used = tracemalloc.get_traced_memory()[0] - before
+    finally:
+        tracemalloc.stop()
+    assert model.key_counts() == {
+        'queues': limits.max_queues,
+        'teams': limits.max_teams,
+        'steps': limits.max_steps,
+        'workers': limits.max_workers,
+    }
+    assert used < most_bytes
+
+
+@pytest.mark.parametrize(('run_s', 'is_learned'), [(7200, True), (7201, False)])
+def test_longest_run_is_a_limit(run_s, is_learned):
+    """Runs above one hour were not learned where tasks take hours."""
+    model = DurationModel(ModelLimits(max_run_s=7200))
+    run = FinishedRun(declared(3600), 'w1', run_s, 1)
+    assert model.learn(run) == is_learned
+
+
 def test_memory_is_bounded():
     """Names that callers choose would exhaust the memory of a daemon."""
     tracemalloc.start()
