Hold reservations for 0.3 s again

Reservations that are held for up to 2 s keep wide work from capacity that no gang uses any more; that they are the cause is suspected, not shown.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -94,8 +94,7 @@
             sum(
                 not worker.is_evacuated
                 for worker in self._cluster.workers.values()
-            ),
-            now_s,
+            )
         )
         self._find_open_workers(now_s)
         ready_stages = list(self._cluster.ready_stages())
--- a/packages/currantreach-jobs/src/currantreach_jobs/_reservations.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_reservations.py
@@ -21,15 +21,9 @@
 
 # At most this share of the workers is reserved for waiting gangs.
 _RESERVABLE_SHARE = 0.5
-# Each full scheduling round renews the reservations. On a busy cell it lasts
-# 0.08 s or more and is followed by a pause of twice that and up to 0.1 s for
-# urgent rounds, so reservations of 0.3 s lapsed before the next one.
-_MIN_RESERVATION_S = 0.3
-# The next interval between full rounds may be longer than the last one by this
-# factor.
-_INTERVAL_FACTOR = 1.5
-# After a stall, no reservation is held for longer than this.
-_MAX_RESERVATION_S = 2
+# Each scheduling round renews the reservations; the interval between rounds is
+# shorter than this.
+_RESERVATION_S = 0.3
 # A gang without a forecast goes over the expected ends of all runs, so it does
 # so less often than it searches.
 _FORECAST_PAUSE_S = 0.25
@@ -46,21 +40,10 @@
         """Create reservations that follow the forecasts of capacity."""
         self._forecasts = forecasts
         self._reservable_count = 0
-        self._round_began_s: float = 0
-        self._reservation_s: float = _MIN_RESERVATION_S
 
-    def begin_round(self, worker_count: int, now_s: float) -> None:
-        """Set how many workers may be reserved in a full round.
-
-        Reservations last until the next one, by the interval since the last.
-        """
+    def begin_round(self, worker_count: int) -> None:
+        """Set how many workers may be reserved in a round."""
         self._reservable_count = round(_RESERVABLE_SHARE * worker_count)
-        interval_s = now_s - self._round_began_s if self._round_began_s else 0
-        self._round_began_s = now_s
-        self._reservation_s = min(
-            _MAX_RESERVATION_S,
-            max(_MIN_RESERVATION_S, _INTERVAL_FACTOR * interval_s),
-        )
 
     def forecast(
         self,
@@ -127,7 +110,7 @@
         lending_end_s = forecast.start_s if forecast and not is_boosted else 0
         for worker in reserved_workers:
             worker.reserved_by = stage
-            worker.reserved_until_s = now_s + self._reservation_s
+            worker.reserved_until_s = now_s + _RESERVATION_S
             worker.reserved_start_s = lending_end_s
         return True
 
