Review case 6: settings that change with SIGHUP are read and not used

Cause: the handler of SIGHUP reads the settings file and drops what it has read, so the daemons go on calling the old address of the placement service.

Nothing is fixed.

--- a/review/cell_2.py
+++ b/review/cell_2.py
@@ -468,10 +468,19 @@
         self._settings = directory / f'{name}.toml'
         self._directory = directory
         self._child = None
+        self._ports = link, control
+        self._store_address = store_address
+        self.write_settings()
+
+    def write_settings(self):
+        """Write the settings file, as the platform does when they change."""
+        link, control = self._ports
         bounds = '\n'.join(f'{name} = {json.dumps(value)}'
                            for name, value in BOUNDS.items())
+        more = '\n'.join(f'{name} = {json.dumps(value)}'
+                         for name, value in self._cell.settings.items())
         self._settings.write_text(f"""
-nodeName = "{name}"
+nodeName = "{self.name}"
 role = "daemon"
 machineClass = "edge"
 serves = ["edge"]
@@ -484,6 +493,7 @@
 discovery = "platform"
 heartbeatMs = {round(HEARTBEAT_S * 1000)}
 commands = "invoke"
+{more}
 [listenAddrs]
 frontend = "{self.frontend}"
 ready = "{self.ready}"
@@ -497,7 +507,7 @@
 [bounds]
 {bounds}
 [platform]
-address = "{store_address}"
+address = "{self._store_address}"
 form = "kv"
 writesPerS = 400
 readsPerS = 2000
@@ -524,6 +534,11 @@
             )
         self._cell.record.add(self.name, 'started')
 
+    def reload(self):
+        """Tell the daemon that its settings file has changed."""
+        self._child.send_signal(signal.SIGHUP)
+        self._cell.record.add(self.name, 'gets SIGHUP')
+
     async def kill(self):
         if self._child is not None and self._child.returncode is None:
             self._child.send_signal(signal.SIGKILL)
@@ -551,7 +566,8 @@
         self.workers = []
         self.daemons = []
         self.steps = {}
-        self.tenant_of = {}
+        # Settings of all daemons beside the usual ones.
+        self.settings = {}
         self.starts = []
         self.on_start = lambda run: None
         self.on_end = lambda run, how: None
