Let services and best-effort tasks share a worker where no other is left

Cause: the placement excluded every worker with a best-effort task for a service with a target, and the other way round, as nothing paced best-effort tasks. On a fleet with one of them on each worker the other waited for good.

Change: such workers come last in the order of the placement. The leader paces the best-effort tasks there by the tails that the worker lists: above a target they stop with the next list, which comes within half a second, and they grow in steps while all tails are low. So a service is not above its target for four seconds because of them. A new leader sets all paces anew.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_clients.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_clients.py
@@ -68,6 +68,18 @@
         :returns: whether the worker accepts the fencing token.
         """
 
+    @abc.abstractmethod
+    async def pace(
+        self, task: TaskKey, attempt: int, percent: int, token: int
+    ) -> bool:
+        """Set which share of its processor time a run may use.
+
+        A run starts with its full share, 100.
+
+        :param token: fencing token of the leader.
+        :returns: whether the worker accepts the fencing token.
+        """
+
     @abc.abstractmethod
     async def hold(
         self,
--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -340,6 +340,9 @@
                 for _, worker in assigned
                 if worker.is_reserved_for_other(stage, now_s)
             ),
+            shared=sum(
+                worker.would_disturb(stage.step) for _, worker in assigned
+            ),
             workers=','.join(sorted(worker_ids)),
             waited_s=round(waited_s, 3),
             **self._speeds.log_fields(stage, worker_ids, now_s),
--- a/packages/currantreach-jobs/src/currantreach_jobs/_model.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_model.py
@@ -353,12 +353,18 @@
 
 @attrs.frozen(slots=True, kw_only=True)
 class RunningRun:
-    """A run that a worker lists as running."""
+    """A run that a worker lists as running.
+
+    :ivar recent_load: rough figure for the last half second: the tail response
+        time in milliseconds for a service with a target, the processor time in
+        use in milli-cores for any other task; 0 if it is not known.
+    """
 
     task: TaskKey
     attempt: int
     checkpoint: str = ''
     percent: int = 0
+    recent_load: float = 0
 
 
 @attrs.frozen(slots=True, kw_only=True)
--- a/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
@@ -51,9 +51,10 @@
         is reserved for a later time.
     :param free_share: measure of the free capacity of a worker.
 
-    Cold workers come last. Among equally fast workers, those with less free
-    capacity come first (best fit), so that emptier ones stay available for
-    large tasks and gangs.
+    Cold workers come last, and after them those that a service with a response
+    time target would share with best-effort tasks. Among equally fast workers,
+    those with less free capacity come first (best fit), so that emptier ones
+    stay available for large tasks and gangs.
     """
     # Each round runs this for most pairs of worker and stage, so the usual case
     # of a worker without a reservation needs no further call.
@@ -69,12 +70,6 @@
         )
     ]
     step = stage.step
-    if step.is_filling or step.tail_target_ms:
-        fitting = [
-            worker
-            for worker in fitting
-            if not worker.has_colocation_conflict(step)
-        ]
     # The sort is stable: the last key takes precedence over the earlier ones.
     fitting.sort(key=free_share)
     if speed_order is not None:
@@ -85,6 +80,8 @@
     if rack:
         fitting.sort(key=lambda worker: rack not in worker.report.labels)
     fitting.sort(key=_is_cold)
+    if step.is_filling or step.tail_target_ms:
+        fitting.sort(key=lambda worker: worker.would_disturb(step))
     return fitting
 
 
--- a/packages/currantreach-jobs/src/currantreach_jobs/_usage.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_usage.py
@@ -176,18 +176,28 @@
             return False
         return now_s + tail_s + _LENDING_MARGIN_S <= self.reserved_start_s
 
-    def has_colocation_conflict(self, step: Step) -> bool:
-        """Tell whether a step must not run beside a task on the worker.
+    def would_disturb(self, step: Step) -> bool:
+        """Tell whether a task of a step disturbs, or is disturbed, here.
 
-        Best-effort tasks share no worker with tasks that have a response time
-        target.
+        Best-effort tasks disturb services with a response time target.
         """
         if step.is_filling:
             return any(other.tail_target_ms for other in self._steps())
         if step.tail_target_ms:
-            return any(other.is_filling for other in self._steps())
+            return self.has_filling()
         return False
 
+    def has_filling(self) -> bool:
+        """Tell whether any best-effort task runs on the worker."""
+        return any(step.is_filling for step in self._steps())
+
+    def steps_by_run(self) -> dict[tuple[TaskKey, int], Step]:
+        """Return the steps of all runs, including those of quarantined jobs."""
+        steps = {key: run.stage.step for key, run in self.runs.items()}
+        for key, (_, step) in self.quarantined.items():
+            steps[key] = step
+        return steps
+
     def running(self) -> Iterable[Run]:
         """Return all runs on the worker."""
         return self.runs.values()
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -8,6 +8,7 @@
 
 from currantreach_jobs._model import StartAnswer, StartOrder
 from currantreach_jobs._orders import BackgroundOrders
+from currantreach_jobs._pacing import PaceOrders
 from currantreach_jobs._pending_acks import PendingAcks
 from currantreach_jobs._progress import RunPhase, drop_tickets
 from currantreach_jobs._worker_process import WorkerProcess
@@ -102,6 +103,14 @@
             self._silent_since_s = released.silent_since_s
         self._process = WorkerProcess(leadership, settings, leases_expire_at_s)
         self._orders = BackgroundOrders(worker_id, cluster.count_retry)
+        self._paces = PaceOrders(
+            worker_id,
+            client,
+            cluster,
+            self._orders,
+            clock,
+            self._handle_refused_token,
+        )
 
     @property
     def leases_expire_at_s(self) -> float:
@@ -199,11 +208,9 @@
             and not self._is_silent
             and not has_pending_acks
         )
-        wait_s = (
-            self._settings.long_poll_s
-            if can_long_poll and can_send_orders
-            else 0
-        )
+        wait_s: float = 0
+        if can_long_poll and can_send_orders:
+            wait_s = self._paces.poll_s(self._settings.long_poll_s)
         deadline_ms = 0
         acked_through = 0
         # Clock readings and numbers of ends are valid for one process of the
@@ -306,6 +313,7 @@
                     self._adopt_inherited()
                 self._cluster.drop_inherited(self.worker_id)
             self._reconcile(reply, sent_at_s)
+            self._paces.update(reply.running, self._process.token)
         # This comes last, so that a worker stays released if its replies cannot
         # be processed.
         self._consecutive_failures = 0
@@ -317,6 +325,7 @@
         self.is_adopted = True
         for found in reply.running:
             self._cluster.adopt(self.worker_id, found)
+        self._paces.adopt(reply.running)
         log_event(
             'worker_adopted',
             worker=self.worker_id,
--- a/packages/currantreach-jobs/tests/conftest.py
+++ b/packages/currantreach-jobs/tests/conftest.py
@@ -40,6 +40,7 @@
 from currantreach_jobs._job_queries import JobQueries
 from currantreach_jobs._job_scheduler import JobScheduler
 from currantreach_jobs._key_writer import KeyWriter
+from currantreach_jobs._progress import resource_demand
 from currantreach_jobs._records import decode_job
 from currantreach_jobs._stage_durations import StageDurations, TaskDuration
 from currantreach_jobs._submissions import (
@@ -354,6 +355,8 @@
         self.room = ROOM
         self.is_draining = False
         self.failure_domain = 'east'
+        self.tails_ms = {}
+        self.paces = {}
         self.process_count = 0
         self.restart()
 
@@ -365,6 +368,7 @@
         self.token = 0
         self.deadline_ms = 0
         self.running = {}
+        self.paces = {}
         self.closed = {}
         self.ended = []
         self.numbers = itertools.count(1)
@@ -479,12 +483,36 @@
             clock_ms=self.clock_ms(),
             born_unix_ms=self.born,
             running=tuple(
-                RunningRun(task=task, attempt=attempt)
+                RunningRun(
+                    task=task,
+                    attempt=attempt,
+                    recent_load=self.tail_ms(task.job_id),
+                )
                 for task, attempt in self.running
             ),
             ended=tuple(self.ended),
         )
 
+    def pace(self, task, attempt, percent, token):
+        """Set the pace of a run."""
+        if not self.accept_token(token):
+            return False
+        if (task, attempt) in self.running:
+            self.paces[task.job_id] = percent
+        return True
+
+    def tail_ms(self, job_id):
+        """Return the tail of a service beside the present best-effort work.
+
+        ``tails_ms`` has it without and with best-effort work at full pace.
+        """
+        alone_ms, disturbed_ms = self.tails_ms.get(job_id, (0, 0))
+        fill_ids = {task.job_id for task, _ in self.running} - {job_id}
+        percent = max(
+            (self.paces.get(name, 100) for name in fill_ids), default=0
+        )
+        return alone_ms + (disturbed_ms - alone_ms) * percent / 100
+
     def carry_out(self):
         """Carry out the delayed starts."""
         delayed = tuple(self.delayed)
@@ -518,6 +546,10 @@
         await self._enter('stop')
         return self._answer(self.worker.stop(task, attempt, token))
 
+    async def pace(self, task, attempt, percent, token):
+        await self._enter('pace')
+        return self._answer(self.worker.pace(task, attempt, percent, token))
+
     async def hold(self, token, acked_through, worker_deadline_ms, wait_s):
         await self._enter('hold')
         worker = self.worker
@@ -687,12 +719,13 @@
         return {task.job_id for task, _ in self.workers[worker_id].running}
 
     def resources_of(self, task):
-        """Return the resources that a task needs, from its stored job."""
+        """Return the resources that a task uses, from its stored job."""
         key = task.job_id, task.step
         if key not in self.needed:
             # The steps are dropped when the job has ended.
             stored = self.store.keys[f'jobs/{task.job_id}'].stored
-            self.needed[key] = decode_job(stored).steps[task.step].needed
+            step = decode_job(stored).steps[task.step]
+            self.needed[key] = resource_demand(step)
         return self.needed[key]
 
     def record_start(self, worker, order):
--- a/tests/adapter/test_calls.py
+++ b/tests/adapter/test_calls.py
@@ -184,10 +184,48 @@
     reply = await worker.hold(7, 57, 486000, 0.5)
     assert reply.running[0].task == TASK
     assert reply.running[0].checkpoint == 'c1'
+    assert reply.running[0].recent_load == 7
     assert reply.ended[0].kind is EndKind.BROKEN
     assert json.loads(server.requests[0][3])['waitMs'] == 500
 
 
+@pytest.mark.parametrize(
+    'odd', [-1, 'slow', None, [], float('nan'), float('inf'), 10**400]
+)
+async def test_odd_load_counts_as_not_known(worker, server, odd):
+    """An odd figure stopped all best-effort work on its worker, or none."""
+    server.responses = [hold_response(active=[[TASK_NAME, 2, '', 100, odd]])]
+    reply = await worker.hold(7, 0, 0, 0)
+    assert reply.running[0].recent_load == 0
+
+
+async def test_pace_names_the_run_and_its_share(worker, server):
+    """Guard against a pace that the worker does not understand."""
+    server.responses = [
+        (200, {'clockMs': 9}),
+        (409, {'clockMs': 9, 'reason': 'fence'}),
+        (409, {'clockMs': 9, 'reason': 'old'}),
+    ]
+    assert await worker.pace(TASK, 2, 40, 7)
+    method, path, _, body = server.requests[0]
+    assert (method, path) == ('POST', '/currantreach/pace')
+    assert json.loads(body) == {
+        'task': TASK_NAME,
+        'attempt': 2,
+        'percent': 40,
+        'fencingToken': 7,
+    }
+    assert not await worker.pace(TASK, 2, 40, 7)
+    assert await worker.pace(TASK, 2, 40, 7)
+
+
+async def test_refused_pace_is_reported(worker, server):
+    """A pace that an unhealthy worker refuses counted as applied."""
+    server.responses = [(503, {'clockMs': 9})]
+    with pytest.raises(WorkerUnavailableError):
+        await worker.pace(TASK, 2, 0, 7)
+
+
 async def test_malformed_lists_raise_an_error(worker, server):
     """A response without lists must not look like an idle worker."""
     server.responses = [(200, {'clockMs': 1})]
--- a/tests/soak/_workers.py
+++ b/tests/soak/_workers.py
@@ -266,6 +266,8 @@
             return self._answer(*self._start(body, self.born))
         if name == 'run-stop':
             return self._answer(*self._stop(body))
+        if name == 'pace':
+            return self._answer(*self._check_token(body))
         return await self._hold(body)
 
     def _start(self, body, born):
@@ -317,6 +319,12 @@
             return 'ticket'
         return ''
 
+    def _check_token(self, body):
+        if body.get('fencingToken', 0) < self.fencing_token:
+            return 409, 'fence'
+        self.fencing_token = body['fencingToken']
+        return 200, ''
+
     def _stop(self, body):
         if body.get('fencingToken', 0) < self.fencing_token:
             return 409, 'fence'
