Let services, and other work on a fleet with room, overtake a waiting gang

Short jobs waited as well, and all work of a team behind a boosted gang at the limit of that team.

Cause: a boosted stage reserves whole workers for up to 30 s and lends nothing, however far its own start is away and however much of the fleet is free, and a service borrows nothing in any case.

Evidence: on the service waits with reason=reserved, reserved=4, and starts in the round in which the boost of the gang ends.

Change: a stage that finds no other room may use reserved capacity: a service always; other work while less than half of the service's capacity is in use, after 2 s, unless the gang is expected to start within 5 s. On such a fleet the boosted stage lends to tasks that end before its start. The same rules hold for the limit of a team. On a busy fleet nothing changes but for services, so late jobs still start under constant load.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_capacity_forecast.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_capacity_forecast.py
@@ -15,6 +15,7 @@
     from collections.abc import Collection, Iterable, Iterator, Sequence
 
     from currantreach_jobs._cluster_state import ClusterState
+    from currantreach_jobs._model import Team
     from currantreach_jobs._progress import Run, Stage
 
 __all__ = ('CapacityForecast', 'ForecastCalculator')
@@ -226,6 +227,25 @@
             workers=chosen or selection.fullest(needed_count),
         )
 
+    def team_start_s(self, stage: Stage, team: Team, now_s: float) -> float:
+        """Return when the limit of a team is expected to allow a start.
+
+        :returns: 0 if no such time can be told.
+        """
+        ends: list[tuple[float, Run]] = []
+        for worker in self._cluster.workers.values():
+            ends.extend(self._ends(worker, now_s))
+        ends.sort(key=itemgetter(0))
+        freed = Resources()
+        for time_s, run in ends:
+            if run.stage.job_progress.job.team != team.name:
+                continue
+            freed += run.stage.step.needed
+            count = self._cluster.teams.free_task_count(team, stage.step, freed)
+            if count >= stage.min_start_count:
+                return time_s
+        return 0
+
     def end_s(self, run: Run, now_s: float) -> float | None:
         """Return when a run is expected to end, if that is known."""
         durations = self._cluster.durations
--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -9,6 +9,7 @@
 
 from typing import TYPE_CHECKING
 
+from currantreach_jobs._borrowing import has_waited_to_overtake, is_imminent
 from currantreach_jobs._capacity_forecast import ForecastCalculator
 from currantreach_jobs._job_paths import update_paths
 from currantreach_jobs._lookahead import AdviceLookahead
@@ -20,8 +21,9 @@
 from currantreach_jobs._priority_boost import PriorityBoost
 from currantreach_jobs._reservations import Reservations
 from currantreach_jobs._slow_runs import SlowRuns
-from currantreach_jobs._stage_advice import StageAdvice, min_start_count
+from currantreach_jobs._stage_advice import StageAdvice
 from currantreach_jobs._urgency import is_first, urgency_key
+from currantreach_jobs._usage import services_with_spare_capacity
 from currantreach_jobs._wait_reasons import WaitReason
 from currantreach_jobs._worker_ranking import (
     WorkerSpeeds,
@@ -73,14 +75,16 @@
         self._priority_boost = PriorityBoost()
         self._boosted_stage: Stage | None = None
         self._blocked_team = ''
+        self._is_team_needed_soon = False
+        self._spare_services: frozenset[str] = frozenset()
         self._speeds = WorkerSpeeds()
         self._slow_runs = SlowRuns()
         self._cluster = cluster
         self._stage_advice = StageAdvice(advice_dispatcher)
-        forecasts = ForecastCalculator(cluster)
-        self._reservations = Reservations(forecasts)
+        self._forecasts = ForecastCalculator(cluster)
+        self._reservations = Reservations(self._forecasts)
         self._lookahead = AdviceLookahead(
-            cluster, self._stage_advice, forecasts
+            cluster, self._stage_advice, self._forecasts
         )
         self._clock = clock
         self._launch = launch
@@ -97,6 +101,9 @@
             )
         )
         self._find_open_workers(now_s)
+        self._spare_services = services_with_spare_capacity(
+            self._open_workers.values()
+        )
         ready_stages = list(self._cluster.ready_stages())
         update_paths(ready_stages, self._cluster.durations, now_s)
         stages = sorted(
@@ -112,7 +119,7 @@
         self._blocked_team = ''
         if self._boosted_stage is not None and self._boosted_stage.waiting:
             self._schedule_stage(self._boosted_stage, now_s)
-            self._blocked_team = self._team_to_block(self._boosted_stage, now_s)
+            self._block_team(self._boosted_stage, now_s)
         for stage in stages:
             if stage is not self._boosted_stage:
                 self._schedule_unless_blocked(stage, now_s)
@@ -148,12 +155,22 @@
             self._measure_speeds(now_s)
 
     def _schedule_unless_blocked(self, stage: Stage, now_s: float) -> None:
-        blocked_team = self._blocked_team
-        if blocked_team and stage.job_progress.job.team == blocked_team:
+        if self._is_team_blocked(stage, now_s):
             stage.wait_reason = WaitReason.TEAM_LIMIT
         else:
             self._schedule_stage(stage, now_s)
 
+    def _is_team_blocked(self, stage: Stage, now_s: float) -> bool:
+        """Tell whether a stage waits for the boosted one of its team."""
+        team = self._team_of(stage)
+        if team is None or team.name != self._blocked_team:
+            return False
+        if stage.step.is_lasting:
+            return False
+        if self._is_team_needed_soon or not self._cluster.teams.has_spare(team):
+            return True
+        return not has_waited_to_overtake(stage, now_s)
+
     def _schedule_stage(self, stage: Stage, now_s: float) -> None:
         try:
             wait_reason = self._precheck(stage, now_s)
@@ -192,17 +209,23 @@
             return WaitReason.GANG_INCOMPLETE
         return None
 
-    def _team_to_block(self, stage: Stage, now_s: float) -> str:
-        """Return the team whose other stages wait for the boosted one."""
+    def _block_team(self, stage: Stage, now_s: float) -> None:
+        """Let the other stages of a team wait for the boosted one.
+
+        They wait only if the limit of the team is what keeps it from starting.
+        """
         if stage.wait_reason is not WaitReason.TEAM_LIMIT or not stage.waiting:
-            return ''
+            return
         team = self._team_of(stage)
-        if self._cluster.teams.max_task_count(
-            team, stage.step
-        ) < min_start_count(stage):
-            return ''
+        if team is None or (
+            self._cluster.teams.max_task_count(team, stage.step)
+            < stage.min_start_count
+        ):
+            return
         self._priority_boost.record_reservation(now_s)
-        return stage.job_progress.job.team
+        self._blocked_team = team.name
+        start_s = self._forecasts.team_start_s(stage, team, now_s)
+        self._is_team_needed_soon = is_imminent(start_s, now_s)
 
     def _place(self, stage: Stage, now_s: float) -> WaitReason | None:
         """Start the tasks that fit; return why the others wait.
@@ -276,6 +299,7 @@
             speed_order,
             self._cluster.durations,
             self._free_share,
+            stage.job_progress.job.queue.service in self._spare_services,
         )
 
     def _workers_with_tickets(
--- a/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from currantreach_jobs._advice_planning import MAX_QUERIED, planned_count
+from currantreach_jobs._borrowing import may_borrow, may_overtake
 from currantreach_jobs._packing import free_cpu
 from currantreach_jobs._usage import fitting_count_within
 
@@ -22,6 +23,7 @@
 __all__ = (
     'assign',
     'eligible_workers',
+    'fits',
     'fitting_count',
     'max_fitting_count',
     'meets_requirements',
@@ -41,6 +43,7 @@
     speed_order: SpeedOrder | None = None,
     durations: StageDurations | None = None,
     free_share: FreeShare = free_cpu,
+    has_spare: bool = False,
 ) -> list[WorkerState]:
     """Return the workers that may run tasks of a stage, best first.
 
@@ -50,6 +53,8 @@
     :param durations: expected durations, by which a task may use capacity that
         is reserved for a later time.
     :param free_share: measure of the free capacity of a worker.
+    :param has_spare: whether the service has enough capacity to spare that no
+        stage need wait for long for the sake of another one.
 
     Cold workers come last, and after them those that a service with a response
     time target would share with best-effort tasks. Among equally fast workers,
@@ -58,17 +63,26 @@
     """
     # Each round runs this for most pairs of worker and stage, so the usual case
     # of a worker without a reservation needs no further call.
-    fitting = [
-        worker
-        for worker in workers
-        if meets_requirements(stage, worker)
-        and (
+    fitting: list[WorkerState] = []
+    reserved: list[WorkerState] = []
+    for candidate in workers:
+        if not meets_requirements(stage, candidate):
+            continue
+        if (
             is_boosted
-            or worker.reserved_by is None
-            or not worker.is_reserved_for_other(stage, now_s)
-            or _may_borrow(stage, worker, now_s, durations)
+            or candidate.reserved_by is None
+            or not candidate.is_reserved_for_other(stage, now_s)
+            or may_borrow(stage, candidate, now_s, durations, has_spare)
+        ):
+            fitting.append(candidate)
+        else:
+            reserved.append(candidate)
+    if reserved and not fits(stage, fitting, stage.min_start_count):
+        fitting.extend(
+            worker
+            for worker in reserved
+            if may_overtake(stage, worker, now_s, has_spare)
         )
-    ]
     step = stage.step
     # The sort is stable: the last key takes precedence over the earlier ones.
     fitting.sort(key=free_share)
@@ -99,6 +113,17 @@
     return max(0, min(count, limit - running_count))
 
 
+def fits(
+    stage: Stage, workers: Iterable[WorkerState], needed_count: int
+) -> bool:
+    """Tell whether a number of tasks fits on some workers now."""
+    for worker in workers:
+        needed_count -= fitting_count(stage, worker)
+        if needed_count <= 0:
+            return True
+    return False
+
+
 def max_fitting_count(stage: Stage, worker: WorkerState) -> int:
     """Return how many tasks of a stage fit once other tasks have ended.
 
@@ -309,24 +334,6 @@
     )
 
 
-def _may_borrow(
-    stage: Stage,
-    worker: WorkerState,
-    now_s: float,
-    durations: StageDurations | None,
-) -> bool:
-    """Tell whether tasks end before the capacity is needed by its stage."""
-    if durations is None or stage.step.is_lasting:
-        return False
-    # Cheap checks first: each stage meets all reserved workers in each round.
-    if now_s >= worker.reserved_start_s:
-        return False
-    if worker.free.cpu_milli < stage.demand.cpu_milli:
-        return False
-    tail_s = durations.tail_s(stage, worker.report.worker_id)
-    return worker.is_lendable(tail_s, now_s)
-
-
 def _gang_workers(
     stage: Stage,
     workers: Sequence[WorkerState],
--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -193,6 +193,11 @@
         """Tell whether all tasks are done."""
         return self.done_count >= self.step.task_count
 
+    @property
+    def min_start_count(self) -> int:
+        """Return how many tasks have to start together."""
+        return self.step.task_count if self.step.is_gang else 1
+
     @property
     def has_history(self) -> bool:
         """Tell whether any task has been placed or has ended."""
--- a/packages/currantreach-jobs/src/currantreach_jobs/_reservations.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_reservations.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from currantreach_jobs._placement import max_fitting_count
-from currantreach_jobs._stage_advice import min_start_count
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -66,7 +65,7 @@
         if not reservable:
             return None
         forecast = self._forecasts.forecast(
-            stage, reservable, min_start_count(stage), max_workers, now_s
+            stage, reservable, stage.min_start_count, max_workers, now_s
         )
         if forecast is None:
             stage.next_forecast_at_s = now_s + _FORECAST_PAUSE_S
@@ -106,12 +105,13 @@
         if not reserved_workers:
             return False
         self._reservable_count -= len(reserved_workers)
-        # Nothing may delay a boosted stage, whose wait is bounded.
-        lending_end_s = forecast.start_s if forecast and not is_boosted else 0
         for worker in reserved_workers:
             worker.reserved_by = stage
             worker.reserved_until_s = now_s + _RESERVATION_S
-            worker.reserved_start_s = lending_end_s
+            worker.reserved_start_s = forecast.start_s if forecast else 0
+            # On a busy fleet nothing may delay a boosted stage, whose wait is
+            # bounded.
+            worker.is_reserved_strictly = is_boosted
         return True
 
     def _max_workers(
@@ -148,7 +148,7 @@
     max_workers: int,
 ) -> list[WorkerState]:
     """Return the emptiest workers that fit a stage, none if too few do."""
-    missing_count = min_start_count(stage)
+    missing_count = stage.min_start_count
     chosen: list[WorkerState] = []
     for worker in sorted(workers, key=_reservation_rank):
         if missing_count <= 0 or len(chosen) >= max_workers:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_stage_advice.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_stage_advice.py
@@ -6,7 +6,7 @@
 
 from currantreach_jobs._advice import AdvicePurpose
 from currantreach_jobs._placement import (
-    fitting_count,
+    fits,
     workers_to_probe,
     workers_to_query,
 )
@@ -22,7 +22,7 @@
     from currantreach_jobs._usage import WorkerState
     from currantreach_jobs._worker_ranking import SpeedOrder
 
-__all__ = ('RENEWAL_LEAD_S', 'StageAdvice', 'min_start_count')
+__all__ = ('RENEWAL_LEAD_S', 'StageAdvice')
 
 # Fraction of ``AdviceConfig.fixed_s`` by which an urgent call may be longer, to
 # query more workers; some milliseconds for the queues in use.
@@ -108,8 +108,8 @@
             if stage.allowed.get(worker.report.worker_id, True)
         ]
         min_count = _min_queried_count(stage, advice)
-        needed_count = min_start_count(stage)
-        should_query = min_count or _fits(stage, candidates, needed_count)
+        needed_count = stage.min_start_count
+        should_query = min_count or fits(stage, candidates, needed_count)
         if not should_query and not is_boosted:
             return []
         allowed_fraction = self._advice_dispatcher.allowed_fraction(
@@ -175,11 +175,6 @@
         return WaitReason.NO_ADVISER_FREE
 
 
-def min_start_count(stage: Stage) -> int:
-    """Return how many tasks of a stage have to start together."""
-    return stage.step.task_count if stage.step.is_gang else 1
-
-
 def _is_awaited(
     stage: Stage,
     forecast: CapacityForecast,
@@ -199,17 +194,6 @@
     return now_s - stage.awaited_since_s <= advice.fixed_s + RENEWAL_LEAD_S
 
 
-def _fits(
-    stage: Stage, workers: Sequence[WorkerState], needed_count: int
-) -> bool:
-    """Tell whether a number of tasks fits on some workers now."""
-    for worker in workers:
-        needed_count -= fitting_count(stage, worker)
-        if needed_count <= 0:
-            return True
-    return False
-
-
 def _min_queried_count(stage: Stage, advice: AdviceConfig) -> int:
     """Return for how many workers a stage should have tickets in advance.
 
--- a/packages/currantreach-jobs/src/currantreach_jobs/_usage.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_usage.py
@@ -17,7 +17,12 @@
 
     from currantreach_jobs._model import Team
 
-__all__ = ('TeamUsage', 'WorkerState', 'fitting_count_within')
+__all__ = (
+    'TeamUsage',
+    'WorkerState',
+    'fitting_count_within',
+    'services_with_spare_capacity',
+)
 
 # One task in twenty fails by its own fault, so three different jobs in a row
 # fail on a healthy worker about once in several thousand cases.
@@ -25,11 +30,16 @@
 # A faulty worker is used again after this pause, as such faults last for a few
 # seconds.
 _FAILURE_PAUSE_S = 4
+# Part of its capacity below which a service, or a team, has enough to spare.
+_SPARE_SHARE = 0.5
 # Time between the decision to start a task and its start on the worker, and
 # between its end and the next decision.
 _LENDING_MARGIN_S = 0.1
 
 
+_NOTHING = Resources()
+
+
 def fitting_count_within(stage: Stage, capacity: Resources) -> int:
     """Return how many tasks of a stage fit into a capacity.
 
@@ -66,6 +76,8 @@
     :ivar reserved_by: stage for which capacity that becomes free is reserved.
     :ivar reserved_start_s: when that stage is expected to start, 0 if it is not
         known.
+    :ivar is_reserved_strictly: whether other stages may use that capacity only
+        while the service has capacity to spare.
     :ivar paused_until_s: end of the pause after a streak of failures.
     :ivar born_unix_ms: start time of the process that answers, 0 if it is not
         known.
@@ -85,6 +97,7 @@
     reserved_by: object | None = None
     reserved_until_s: float = 0
     reserved_start_s: float = 0
+    is_reserved_strictly: bool = False
     is_listed: bool = True
     is_evacuated: bool = False
 
@@ -242,11 +255,31 @@
         """Subtract the resources of a run that has ended."""
         self._used[team] -= freed
 
-    def free_task_count(self, team: Team | None, step: Step) -> int:
-        """Return how many more tasks of a step the team may run."""
+    def free_task_count(
+        self,
+        team: Team | None,
+        step: Step,
+        freed: Resources = _NOTHING,
+    ) -> int:
+        """Return how many more tasks of a step the team may run.
+
+        :param freed: resources that count as free, although they are in use.
+        """
         if team is None:
             return step.task_count
-        return _count_within(team, self._used[team.name], step)
+        return _count_within(team, self._used[team.name] - freed, step)
+
+    def has_spare(self, team: Team) -> bool:
+        """Tell whether a team uses less than half of each of its limits."""
+        used = self._used[team.name]
+        return all(
+            not limit or have < _SPARE_SHARE * limit
+            for limit, have in (
+                (team.limit.cpu_milli, used.cpu_milli),
+                (team.limit.memory_mib, used.memory_mib),
+                (team.limit.accelerator_count, used.accelerator_count),
+            )
+        )
 
     def max_task_count(self, team: Team | None, step: Step) -> int:
         """Return how many tasks of a step the team may run at the same time."""
@@ -255,6 +288,30 @@
         return _count_within(team, Resources(), step)
 
 
+def services_with_spare_capacity(
+    workers: Iterable[WorkerState],
+) -> frozenset[str]:
+    """Return the services that use less than half of their capacity.
+
+    :param workers: workers on which anything may be started.
+    """
+    cpu_milli: dict[str, float] = collections.defaultdict(float)
+    memory_mib: dict[str, float] = collections.defaultdict(float)
+    for worker in workers:
+        service, room, free = (
+            worker.report.service,
+            worker.report.room,
+            worker.free,
+        )
+        cpu_milli[service] += free.cpu_milli - _SPARE_SHARE * room.cpu_milli
+        memory_mib[service] += free.memory_mib - _SPARE_SHARE * room.memory_mib
+    return frozenset(
+        service
+        for service, beyond_milli in cpu_milli.items()
+        if beyond_milli > 0 and memory_mib[service] > 0
+    )
+
+
 def _count_within(team: Team, used: Resources, step: Step) -> int:
     """Return how many tasks of a step fit into the limit of a team."""
     needed = step.needed
--- a/packages/currantreach-jobs/src/currantreach_jobs/_wait_monitor.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_wait_monitor.py
@@ -10,7 +10,6 @@
 
 from currantreach_jobs._placement import fitting_count, meets_requirements
 from currantreach_jobs._progress import RunPhase
-from currantreach_jobs._stage_advice import min_start_count
 from currantreach_jobs._wait_reasons import WaitReason
 from currantreach_telemetry import log_event
 from currantreach_types import unix_now_ms
@@ -205,7 +204,7 @@
         stage: Stage,
         now_s: float,
     ) -> tuple[WaitReason, Mapping[str, object]]:
-        needed_count = min_start_count(stage)
+        needed_count = stage.min_start_count
         found = _FittingCounts()
         for worker in self._cluster.workers.values():
             if meets_requirements(stage, worker):
