Shorten the wait of a successor for the leases of earlier leaders

Cause: a leader without the store extended leases in full for three seconds after the end of its own, and every successor added them to its wait. Moreover, a successor took each inherited run for one that may have reached a later process of its worker, as it did not know which runs had been listed.

Change: no lease is extended beyond the one that the leader could extend at the end of its own. Progress records say which placed runs their workers have listed, for services as soon as that is known. A successor waits 8.3 s for those and, as before, for stray orders where a run was never listed. The bound for these includes the lease of a leader whose record was dropped early.

Why this works: all leases of an earlier leader end 6 s of worker time after its own, whether it is killed, frozen or cut off, and that one ends 1.4 s after the election at the latest.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from currantreach_jobs._evacuations import Evacuations
+from currantreach_jobs._inherited import inherited_on
 from currantreach_jobs._memory import JobMemory
 from currantreach_jobs._model import EndKind, JobState
 from currantreach_jobs._occurrences import DueOccurrences
@@ -130,7 +131,7 @@
             weight,
             progress.accepted_at_s,
         )
-        self._count_inherited(progress)
+        _count_inherited(self.teams, progress)
         self.jobs[job.job_id] = progress
         if not progress.state.is_final:
             self.open_jobs[job.job_id] = progress
@@ -187,7 +188,7 @@
         for run in tuple(worker.running()) if worker else ():
             if run.is_listed or not keeps_unlisted:
                 self.mark_run_lost(run)
-        self.drop_inherited(worker_id)
+        self.drop_inherited(worker_id, keeps_unlisted)
 
     def create_run(
         self,
@@ -221,6 +222,19 @@
         run.stage.job_progress.has_started = True
         run.mark_running(self._clock.now_s())
 
+    def mark_listed(self, run: Run) -> None:
+        """Mark a run as listed by its worker.
+
+        Records of services say so, as a successor has to start those on a lost
+        worker again soon. Other records say it as of their next change.
+        """
+        run.stage.job_progress.has_started = True
+        if run.is_listed:
+            return
+        run.is_listed = True
+        if run.stage.step.is_lasting:
+            self._mark_changed(run.task.job_id)
+
     def abandon_start(self, run: Run, reason: str) -> None:
         """Give up a run that its worker certainly did not start.
 
@@ -303,16 +317,19 @@
         run.mark_running(self._clock.now_s())
         return run
 
-    def drop_inherited(self, worker_id: str) -> None:
+    def drop_inherited(
+        self, worker_id: str, keeps_unlisted: bool = False
+    ) -> None:
         """Drop the inherited placements on a worker.
 
         Called once all runs of earlier leaders on it are known, so that the
         tasks without a run there wait again.
+
+        :param keeps_unlisted: keep those whose runs it has never listed.
         """
-        for progress in self.open_jobs.values():
-            for stage in progress.stages.values():
-                for index in stage.inherited_on(worker_id):
-                    self._drop_inherited(stage, index)
+        for stage, index in inherited_on(self.open_jobs.values(), worker_id):
+            if index in stage.inherited_listed or not keeps_unlisted:
+                self._drop_inherited(stage, index)
         self._wake()
 
     def drop_inherited_of_unknown_workers(self) -> None:
@@ -537,12 +554,6 @@
         self._drop_inherited(stage, ended.task.index)
         return stage
 
-    def _count_inherited(self, progress: JobProgress) -> None:
-        """Count inherited placements against the limit of the team."""
-        for stage in progress.stages.values():
-            for _ in stage.inherited:
-                self.teams.add(progress.job.team, stage.step.needed)
-
     def _drop_inherited(self, stage: Stage, index: int) -> None:
         stage.inherited.pop(index)
         stage.waiting.add(index)
@@ -573,6 +584,13 @@
         self._wake()
 
 
+def _count_inherited(teams: TeamUsage, progress: JobProgress) -> None:
+    """Count inherited placements against the limit of the team."""
+    for stage in progress.stages.values():
+        for _ in stage.inherited:
+            teams.add(progress.job.team, stage.step.needed)
+
+
 def _log_run(
     event: str,
     run: Run | EndedRun,
--- a/packages/currantreach-jobs/src/currantreach_jobs/_job_scheduler.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_job_scheduler.py
@@ -345,7 +345,7 @@
             self.cluster.count_retry('fleet_unreadable')
             # Without the record it is not known which workers run tasks, so
             # wait until all their leases have expired.
-            await asyncio.sleep(self._settings.inherited_lease_s)
+            await asyncio.sleep(self._settings.inherited_stray_lease_s)
             return
         self._releases.retain(
             {report.worker_id for report in fleet.workers},
@@ -407,10 +407,7 @@
                 continue
             worker.is_listed = False
             session = self._sessions[worker_id]
-            is_expired = (
-                not worker.is_usable and now_s > session.leases_expire_at_s
-            )
-            if is_expired and not worker.runs:
+            if not worker.is_usable and session.has_no_runs_left(now_s):
                 self._drop_session(worker_id)
 
     def _drop_session(self, worker_id: str) -> None:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -118,6 +118,8 @@
     :ivar waiting: indices of the tasks that have no run and are not done.
     :ivar inherited: placements by an earlier leader on workers whose runs are
         not known yet, by the index of the task.
+    :ivar inherited_listed: tasks with such a placement whose worker has listed
+        the run to an earlier leader.
     :ivar counted_attempt: attempt number of the last counted failed run of a
         gang, 0 for none.
     :ivar allowed: answers of the placement service by worker.
@@ -171,6 +173,7 @@
     remaining_s: float = 0
     done_count: int = 0
     inherited: dict[int, Placement] = attrs.field(factory=dict)
+    inherited_listed: frozenset[int] = frozenset()
     counted_attempt: int = 0
     allowed: dict[str, bool] = attrs.field(factory=dict)
     tickets: dict[str, tuple[str, float]] = attrs.field(factory=dict)
@@ -294,6 +297,7 @@
         """Return the record to store."""
         if self.is_done:
             return StageRecord(is_done=True)
+        placed = self._placements()
         return StageRecord(
             done=tuple(
                 index for index, task in enumerate(self.tasks) if task.is_done
@@ -304,7 +308,8 @@
                 if task.failure_count
             },
             counted_attempt=self.counted_attempt,
-            placed=self._placements(),
+            placed=placed,
+            listed=tuple(index for index in placed if self._is_listed(index)),
         )
 
     def restore(self, record: StageRecord) -> None:
@@ -325,6 +330,7 @@
         for index, placement in record.placed.items():
             self.waiting.discard(index)
             self.inherited[index] = placement
+        self.inherited_listed = frozenset(record.listed)
 
     def _counting_index(self, index: int) -> int:
         """Return the task at which the failed runs of a task are counted."""
@@ -347,6 +353,13 @@
             first_task.last_attempt, self.counted_attempt
         )
 
+    def _is_listed(self, index: int) -> bool:
+        """Tell whether the worker of a placed task has listed its run."""
+        if index in self.inherited:
+            return index in self.inherited_listed
+        run = self.tasks[index].run
+        return run is not None and run.is_listed
+
     def _placements(self) -> dict[int, Placement]:
         placed = dict(self.inherited)
         for index, task in enumerate(self.tasks):
--- a/packages/currantreach-jobs/src/currantreach_jobs/_records.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_records.py
@@ -154,6 +154,8 @@
         counted there, 0 if none is or if a daemon of an earlier build has
         counted it.
     :ivar placed: placements by task index, of tasks that may have a run.
+    :ivar listed: those of them whose worker has listed the run. Only an order
+        that was never listed may have reached a later process of the worker.
     """
 
     is_done: bool = False
@@ -161,6 +163,7 @@
     failures: dict[int, int] = attrs.field(factory=dict)
     counted_attempt: int = 0
     placed: dict[int, Placement] = attrs.field(factory=dict)
+    listed: tuple[int, ...] = ()
 
     @property
     def has_ends(self) -> bool:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_settings.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_settings.py
@@ -34,10 +34,10 @@
     :ivar run_lease_s: lease of the runs on a worker. It outlasts a takeover
         and most network partitions of a failure domain, so that runs survive
         them. The tasks of a lost worker wait until it expires.
-    :ivar lease_grace_s: how long a leader that has lost the store still renews
-        the leases of the workers, so that a store outage of four seconds costs
-        no leadership. A successor waits this long before it gives up workers
-        that it does not reach.
+    :ivar lease_grace_s: how long a leader that has lost the store still calls
+        the workers, so that a store outage of four seconds costs no leadership.
+        The leases that it renews then end no later than those that it could
+        renew at the end of its own.
     :ivar clock_drift: fraction by which the clock of a worker may be slow.
     :ivar long_poll_s: how long a worker may delay its reply to a lease renewal
         until a run ends (long polling); leases are renewed in this interval.
@@ -107,15 +107,6 @@
             return math.inf
         return max(0, self.evacuation_bound_s - self.call_timeout_s)
 
-    @property
-    def predecessor_grace_s(self) -> float:
-        """Return how long after an election an earlier leader may send orders.
-
-        A store that is down may drop the record of a leader right after its
-        renewal, so this includes a whole leader lease.
-        """
-        return self.leader_lease_s + self.lease_grace_s
-
     @property
     def max_lease_s(self) -> float:
         """Return an upper bound of the real duration of a worker lease."""
@@ -125,11 +116,21 @@
     def inherited_lease_s(self) -> float:
         """Return how long after an election leases of earlier leaders last.
 
-        A leader renews leases longer than it starts runs, and a stray start is
-        sent before the election.
+        An earlier leader renews no lease beyond the one that it could renew at
+        the end of its own. A store that is down may drop the record of a leader
+        right after its renewal, so this includes a whole leader lease.
+        """
+        return self.leader_lease_s + self.max_lease_s
+
+    @property
+    def inherited_stray_lease_s(self) -> float:
+        """Return how long after an election stray orders may have an effect.
+
+        This is the bound for runs that no worker has listed to an earlier
+        leader. It sends no start after the end of its lease.
         """
-        renewed_s = self.predecessor_grace_s + self.max_lease_s
-        return max(renewed_s, self.stray_lease_s)
+        stray_s = self.leader_lease_s + self.stray_lease_s
+        return max(self.inherited_lease_s, stray_s)
 
     @property
     def stray_lease_s(self) -> float:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_process.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_process.py
@@ -34,16 +34,19 @@
         leadership: Leadership,
         settings: JobSettings,
         leases_expire_at_s: float,
+        stray_leases_expire_at_s: float = 0,
     ) -> None:
         """Wait for the first answer of the process.
 
         :param leases_expire_at_s: end of the leases of earlier leaders.
+        :param stray_leases_expire_at_s: end of those of runs that the worker
+            has never listed to them.
         """
         self.token = leadership.create_token()
         self.is_token_seen = False
         self.born_unix_ms = 0
         self.leases_expire_at_s = leases_expire_at_s
-        self._stray_leases_expire_at_s: float = 0
+        self._stray_leases_expire_at_s = stray_leases_expire_at_s
         self._leadership = leadership
         self._settings = settings
         self._clock_ms = 0
@@ -93,15 +96,19 @@
     def extend_lease(self, now_s: float, wait_s: float = 0) -> int:
         """Record a new lease and return its end on the worker's clock.
 
+        A leader whose own lease has ended extends no lease further, as its
+        successor waits only for those that it could have renewed by then.
+
         :param wait_s: how long the worker may delay its answer.
         """
+        renewed_at_s = min(now_s, self._leadership.valid_until_s)
         self.leases_expire_at_s = max(
             self.leases_expire_at_s,
-            now_s + self._settings.max_lease_s,
+            renewed_at_s + self._settings.max_lease_s,
         )
         self._stray_leases_expire_at_s = max(
             self._stray_leases_expire_at_s,
             now_s + wait_s + self._settings.stray_lease_s,
         )
         lease_s = self._settings.run_lease_s
-        return self.clock_ms(now_s) + round(lease_s * _MS_PER_S)
+        return self.clock_ms(renewed_at_s) + round(lease_s * _MS_PER_S)
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -6,6 +6,11 @@
 import contextlib
 from typing import TYPE_CHECKING
 
+from currantreach_jobs._inherited import (
+    adopt_inherited,
+    inherited_on,
+    may_have_unlisted_runs,
+)
 from currantreach_jobs._model import StartAnswer, StartOrder
 from currantreach_jobs._orders import BackgroundOrders
 from currantreach_jobs._pacing import PaceOrders
@@ -16,7 +21,7 @@
 from currantreach_types.errors import PlatformError, WorkerUnavailableError
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Sequence
+    from collections.abc import Awaitable, Callable, Iterable, Sequence
 
     from currantreach_jobs._clients import RunClient
     from currantreach_jobs._cluster_state import ClusterState
@@ -77,6 +82,8 @@
         self.worker_id = worker_id
         self.is_adopted = False
         self.is_lost = False
+        # Whether the runs that were never listed are kept after the others.
+        self._keeps_unlisted = False
         self._client = client
         self._cluster = cluster
         self._leadership = leadership
@@ -93,6 +100,9 @@
         leases_expire_at_s = (
             leadership.acquired_at_s + settings.inherited_lease_s
         )
+        strays_expire_at_s = (
+            leadership.acquired_at_s + settings.inherited_stray_lease_s
+        )
         self._consecutive_failures = 0
         self._silent_since_s: float | None = None
         released = releases.get(worker_id)
@@ -100,8 +110,13 @@
             leases_expire_at_s = min(
                 leases_expire_at_s, released.leases_expire_at_s
             )
+            strays_expire_at_s = min(
+                strays_expire_at_s, released.leases_expire_at_s
+            )
             self._silent_since_s = released.silent_since_s
-        self._process = WorkerProcess(leadership, settings, leases_expire_at_s)
+        self._process = WorkerProcess(
+            leadership, settings, leases_expire_at_s, strays_expire_at_s
+        )
         self._orders = BackgroundOrders(worker_id, cluster.count_retry)
         self._paces = PaceOrders(
             worker_id,
@@ -122,6 +137,16 @@
         """Tell whether the last call to the worker failed."""
         return self._is_silent
 
+    def has_no_runs_left(self, now_s: float) -> bool:
+        """Tell whether no run on the worker can be active or unknown."""
+        if now_s <= self.leases_expire_at_s:
+            return False
+        worker = self._cluster.workers.get(self.worker_id)
+        if worker is not None and worker.runs:
+            return False
+        jobs = self._cluster.open_jobs.values()
+        return not any(inherited_on(jobs, self.worker_id))
+
     async def run(self) -> None:
         """Renew the leases of the worker until the leadership ends."""
         settings = self._settings
@@ -153,11 +178,7 @@
             return
         if self._silent_since_s is None:
             self._silent_since_s = self._leadership.acquired_at_s
-        self._releases.release(
-            self.worker_id,
-            self._silent_since_s,
-            self.leases_expire_at_s,
-        )
+        self._release(self._silent_since_s)
 
     def resume_after(self, failure: BaseException | None) -> None:
         """Prepare to run again after :meth:`run` has ended.
@@ -244,31 +265,33 @@
             not has_answered
             or self._consecutive_failures >= _FAILURES_BEFORE_RELEASE
         ):
-            has_unlisted_runs = (
-                worker is not None and worker.has_unlisted_runs()
-            )
-            self._releases.release(
-                self.worker_id,
-                self._silent_since_s,
-                self._process.all_leases_expire_at_s
-                if has_unlisted_runs
-                else self.leases_expire_at_s,
-            )
+            self._release(self._silent_since_s)
         # The tasks placed on the worker are known once all jobs are read.
         if self._cluster.jobs_loaded.is_set():
             self._give_up_expired_runs(now_s, now_s - self._silent_since_s)
 
+    def _release(self, silent_since_s: float) -> None:
+        """Release the worker until no run that it may have is active."""
+        self._releases.release(
+            self.worker_id,
+            silent_since_s,
+            self._process.all_leases_expire_at_s
+            if may_have_unlisted_runs(self._cluster, self.worker_id)
+            else self.leases_expire_at_s,
+        )
+
     def _give_up_expired_runs(self, now_s: float, silent_s: float) -> None:
         """Give up the runs on the worker whose leases have expired."""
         if now_s <= self.leases_expire_at_s:
             return
-        worker = self._cluster.workers.get(self.worker_id)
         keeps_unlisted = now_s <= self._process.all_leases_expire_at_s
         if self.is_lost:
-            if not keeps_unlisted and worker is not None and worker.runs:
+            if self._keeps_unlisted and not keeps_unlisted:
                 self._cluster.mark_worker_lost(self.worker_id)
+            self._keeps_unlisted = keeps_unlisted
             return
         self.is_lost = True
+        self._keeps_unlisted = keeps_unlisted
         released = self._releases.get(self.worker_id)
         leadership_s = self._clock.now_s() - self._leadership.acquired_at_s
         log_event(
@@ -310,7 +333,7 @@
             self._record_ends(reply, is_first_reply)
             if is_first_reply:
                 if not _is_complete(reply):
-                    self._adopt_inherited()
+                    adopt_inherited(self._cluster, self.worker_id)
                 self._cluster.drop_inherited(self.worker_id)
             self._reconcile(reply, sent_at_s)
             self._paces.update(reply.running, self._process.token)
@@ -333,12 +356,6 @@
             ended=len(reply.ended),
         )
 
-    def _adopt_inherited(self) -> None:
-        """Adopt runs of earlier leaders that the lists may not contain."""
-        for progress in self._cluster.open_jobs.values():
-            for hidden in progress.inherited_runs(self.worker_id):
-                self._cluster.adopt(self.worker_id, hidden, is_listed=False)
-
     def _record_ends(self, reply: HoldReply, is_first_reply: bool) -> None:
         for ended in reply.ended:
             if ended.number > self._recorded_through:
@@ -361,8 +378,7 @@
             found_run = listed.get((run.task, run.attempt))
             if found_run is None:
                 continue
-            run.is_listed = True
-            run.stage.job_progress.has_started = True
+            self._cluster.mark_listed(run)
             if found_run.checkpoint:
                 task = run.stage.tasks[run.task.index]
                 task.checkpoint = found_run.checkpoint
@@ -395,16 +411,10 @@
         jobs = tuple(set(ends.values()).difference(unstored))
         has_written = await self._wait_written(jobs, _WRITE_WAIT_S)
         if has_written and born_unix_ms == self._process.born_unix_ms:
-            self._log_unstored_ends(unstored)
+            _log_unstored_ends(self._cluster, self.worker_id, unstored)
             self._acked_through = max(ends)
             self._pending_acks.discard_through(self._acked_through)
 
-    def _log_unstored_ends(self, job_ids: Sequence[str]) -> None:
-        """Log ends that are acknowledged unstored."""
-        for job_id in job_ids:
-            self._cluster.count_retry('end_let_go')
-            log_warning('end_let_go', job=job_id, worker=self.worker_id)
-
     async def _wait_for_recovery(self) -> None:
         """Wait before the next attempt to adopt the worker."""
         if self._cluster.jobs_loaded.is_set():
@@ -600,6 +610,15 @@
             log_event('worker_fenced', worker=self.worker_id)
 
 
+def _log_unstored_ends(
+    cluster: ClusterState, worker_id: str, job_ids: Iterable[str]
+) -> None:
+    """Log ends that are acknowledged unstored."""
+    for job_id in job_ids:
+        cluster.count_retry('end_let_go')
+        log_warning('end_let_go', job=job_id, worker=worker_id)
+
+
 def _is_gone(run: Run, reply: HoldReply, sent_at_s: float) -> bool:
     """Tell whether a run that a reply does not list is certainly gone.
 
