Measure leases by a clock that goes on while the host is suspended

What callers may see: a leader that is suspended for some seconds, and goes on, takes its lease for a valid one and extends leases of workers that its successor does not reach, beyond the wait of the successor (TWICE).

Cause: the monotonic clock of Linux stands still during a suspension, while the leases in the store and on the workers go on.

Change: the daemons use the clock since boot.

--- a/packages/currantreach-daemon/src/currantreach_daemon/_app.py
+++ b/packages/currantreach-daemon/src/currantreach_daemon/_app.py
@@ -24,7 +24,7 @@
 from currantreach_platform import HttpHostList, HttpStore, HttpWorkerClient
 from currantreach_state import ConfigStore
 from currantreach_telemetry import Metrics, log_event, log_warning
-from currantreach_types import MonotonicClock
+from currantreach_types import BootClock
 from currantreach_types.errors import PlatformError
 
 if TYPE_CHECKING:
@@ -47,7 +47,7 @@
     def __init__(self, settings: DaemonSettings) -> None:
         """Create the components; :meth:`run` starts them."""
         self._settings = settings
-        self._clock = MonotonicClock()
+        self._clock = BootClock()
         self._metrics = Metrics()
         self._stop = asyncio.Event()
         self._store = HttpStore(
--- a/packages/currantreach-types/src/currantreach_types/__init__.py
+++ b/packages/currantreach-types/src/currantreach_types/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from currantreach_types._clock import (
+    BootClock,
     Clock,
     ManualClock,
     MonotonicClock,
@@ -39,6 +40,7 @@
 
 __all__ = (
     'Answer',
+    'BootClock',
     'Clock',
     'HostState',
     'Inventory',
--- a/packages/currantreach-types/src/currantreach_types/_clock.py
+++ b/packages/currantreach-types/src/currantreach_types/_clock.py
@@ -5,7 +5,13 @@
 import abc
 import time
 
-__all__ = ('Clock', 'ManualClock', 'MonotonicClock', 'unix_now_ms')
+__all__ = (
+    'BootClock',
+    'Clock',
+    'ManualClock',
+    'MonotonicClock',
+    'unix_now_ms',
+)
 
 _NS_PER_MS = 1000000
 
@@ -26,6 +32,18 @@
         return time.monotonic()
 
 
+class BootClock(Clock):
+    """Monotonic clock that goes on while the host is suspended.
+
+    Leases are measured by it. They end elsewhere during a suspension, which the
+    clock of :class:`MonotonicClock` does not count on Linux.
+    """
+
+    def now_s(self) -> float:
+        """Return the time since the host has booted, in seconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock(Clock):
     """Clock for tests that moves only by calls of ``advance``."""
 
