Correct a pace that takes effect after a newer one

What callers may see: a service stays above its target (HARM), as best-effort work beside it runs at a pace that its leader believes to have lowered.

Cause: an order without an answer may take effect seconds later, after newer orders, and a pace that the worker had confirmed was never sent again.

Change: for 15 s after an order without an answer, the pace of its run is sent each second. Also, the check for a team that waits for its boosted stage reads the configuration only while there is such a team.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -162,10 +162,11 @@
 
     def _is_team_blocked(self, stage: Stage, now_s: float) -> bool:
         """Tell whether a stage waits for the boosted one of its team."""
-        team = self._team_of(stage)
-        if team is None or team.name != self._blocked_team:
+        blocked_team = self._blocked_team
+        if not blocked_team or stage.job_progress.job.team != blocked_team:
             return False
-        if stage.step.is_lasting:
+        team = self._team_of(stage)
+        if team is None or stage.step.is_lasting:
             return False
         if self._is_team_needed_soon or not self._cluster.teams.has_spare(team):
             return True
--- a/packages/currantreach-jobs/src/currantreach_jobs/_pacing.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_pacing.py
@@ -33,7 +33,11 @@
 _SETTLE_S = 0.6
 # A tail above its target is to be noticed well within four seconds.
 _POLL_S = 0.5
-# Pace of a run that an earlier leader may have changed.
+# An order without an answer may take effect this much later, after newer ones.
+_LATE_ORDER_S = 15
+# Meanwhile the pace is ordered again at this interval.
+_REPEAT_S = 1
+# Pace of a run that an earlier leader or a late order may have changed.
 _UNKNOWN_PERCENT = -1
 
 
@@ -66,6 +70,9 @@
         self._settled_at_s: float = 0
         # Paces that the worker has confirmed; other runs have the full pace.
         self._confirmed: dict[tuple[TaskKey, int], int] = {}
+        # Until when a late order may change the pace of a run.
+        self._unsure_until_s: dict[tuple[TaskKey, int], float] = {}
+        self._repeat_at_s: float = 0
 
     def adopt(self, running: Iterable[RunningRun]) -> None:
         """Take over runs whose pace an earlier leader may have changed.
@@ -81,6 +88,11 @@
         """Record that the worker has applied an order."""
         self._confirmed[order.task, order.attempt] = order.percent
 
+    def record_failure(self, order: PaceOrder, now_s: float) -> None:
+        """Record that an order got no answer, or was refused."""
+        until_s = now_s + _LATE_ORDER_S
+        self._unsure_until_s[order.task, order.attempt] = until_s
+
     def update(
         self,
         worker: WorkerState,
@@ -98,6 +110,7 @@
             for key, percent in self._confirmed.items()
             if key in listed
         }
+        self._forget_unsure(now_s)
         tail_ratio = _worst_tail_ratio(steps, listed)
         percent = MAX_PERCENT
         if tail_ratio is not None:
@@ -111,6 +124,19 @@
             and self._confirmed.get(key, MAX_PERCENT) != percent
         ]
 
+    def _forget_unsure(self, now_s: float) -> None:
+        """Forget the paces that late orders may have changed, now and then."""
+        if now_s < self._repeat_at_s:
+            return
+        self._repeat_at_s = now_s + _REPEAT_S
+        self._unsure_until_s = {
+            key: until_s
+            for key, until_s in self._unsure_until_s.items()
+            if now_s < until_s
+        }
+        for unsure in self._unsure_until_s.keys() & self._confirmed.keys():
+            self._confirmed[unsure] = _UNKNOWN_PERCENT
+
     def _adjust(
         self, tail_ratio: float, now_s: float, worker: WorkerState
     ) -> None:
@@ -200,6 +226,7 @@
                 order.task, order.attempt, order.percent, token
             )
         except PlatformError as error:
+            self._pacer.record_failure(order, self._clock.now_s())
             self._cluster.count_retry('pace_failed')
             log_event(
                 'pace_failed',
--- a/packages/currantreach-jobs/src/currantreach_jobs/_usage.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_usage.py
@@ -35,8 +35,6 @@
 # Time between the decision to start a task and its start on the worker, and
 # between its end and the next decision.
 _LENDING_MARGIN_S = 0.1
-
-
 _NOTHING = Resources()
 
 
--- a/packages/currantreach-jobs/tests/conftest.py
+++ b/packages/currantreach-jobs/tests/conftest.py
@@ -548,6 +548,9 @@
 
     async def pace(self, task, attempt, percent, token):
         await self._enter('pace')
+        await self._travel(
+            'pace', 0, lambda: self.worker.pace(task, attempt, percent, token)
+        )
         return self._answer(self.worker.pace(task, attempt, percent, token))
 
     async def hold(self, token, acked_through, worker_deadline_ms, wait_s):
--- a/packages/currantreach-jobs/tests/test_shared_workers.py
+++ b/packages/currantreach-jobs/tests/test_shared_workers.py
@@ -209,6 +209,30 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize('travel_s', [2.2, 2.6, 3, 3.4, 3.8])
+def test_late_pace_is_corrected(
+    run_scenario, open_shared_cell, wait_until, travel_s
+):
+    """A pace that takes effect after a newer one harms the service for good."""
+
+    async def scenario(fleet, cell):
+        await open_shared_cell(fleet, cell, 30, 1000)
+        worker = fleet.workers['w0']
+        await wait_until(lambda: worker.paces.get('fill') == 0)
+        worker.travel_times_s['pace'] = [travel_s]
+        over_since_s = None
+        for _ in range(400):
+            await asyncio.sleep(0.05)
+            now_s = fleet.clock.now_s()
+            if worker.tail_ms('service') <= TARGET_MS:
+                over_since_s = None
+            elif over_since_s is None:
+                over_since_s = now_s
+            assert now_s - (over_since_s or now_s) < MAX_HARM_S
+
+    run_scenario(scenario)
+
+
 class SharedWorker:
     """Worker with a service and a best-effort task."""
 
