Record only leases that a successor waits for, and describe shared workers

Cause: the records said of each listed run that its lease is a usual one. A leader may have adopted a run that a stray start had begun in a restarted worker, with the longest lease that the worker grants. If that leader resigned at once, its successor waited for a usual lease only and started the task beside the live run (TWICE).

--- a/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_cluster_state.py
@@ -222,18 +222,22 @@
         run.stage.job_progress.has_started = True
         run.mark_running(self._clock.now_s())
 
-    def mark_listed(self, run: Run) -> None:
+    def mark_listed(self, run: Run, has_usual_lease: bool) -> None:
         """Mark a run as listed by its worker.
 
-        Records of services say so, as a successor has to start those on a lost
-        worker again soon. Other records say it as of their next change.
+        Records of services say that it has a usual lease, as a successor has to
+        start those on a lost worker again soon. Other records say it as of
+        their next change.
+
+        :param has_usual_lease: whether a successor waits for the lease of the
+            worker.
         """
         run.stage.job_progress.has_started = True
-        if run.is_listed:
-            return
         run.is_listed = True
-        if run.stage.step.is_lasting:
-            self._mark_changed(run.task.job_id)
+        if has_usual_lease and not run.has_usual_lease:
+            run.has_usual_lease = True
+            if run.stage.step.is_lasting:
+                self._mark_changed(run.task.job_id)
 
     def abandon_start(self, run: Run, reason: str) -> None:
         """Give up a run that its worker certainly did not start.
@@ -325,10 +329,12 @@
         Called once all runs of earlier leaders on it are known, so that the
         tasks without a run there wait again.
 
-        :param keeps_unlisted: keep those whose runs it has never listed.
+        :param keeps_unlisted: keep those that may have longer leases than
+            usual, as the worker has never listed them to an earlier leader, or
+            only soon after its election.
         """
         for stage, index in inherited_on(self.open_jobs.values(), worker_id):
-            if index in stage.inherited_listed or not keeps_unlisted:
+            if index in stage.usual_leases or not keeps_unlisted:
                 self._drop_inherited(stage, index)
         self._wake()
 
--- a/packages/currantreach-jobs/src/currantreach_jobs/_inherited.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_inherited.py
@@ -33,8 +33,8 @@
 def may_have_unlisted_runs(cluster: ClusterState, worker_id: str) -> bool:
     """Tell whether a run may be active that a worker has never listed.
 
-    Before the jobs are loaded it is not known what an earlier leader has placed
-    there.
+    A placement by an earlier leader counts as such a run unless its lease is
+    known to be a usual one. Before the jobs are loaded, nothing is known.
     """
     if not cluster.jobs_loaded.is_set():
         return True
@@ -42,6 +42,6 @@
     if worker is not None and worker.has_unlisted_runs():
         return True
     return any(
-        index not in stage.inherited_listed
+        index not in stage.usual_leases
         for stage, index in inherited_on(cluster.open_jobs.values(), worker_id)
     )
--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -66,6 +66,8 @@
     :ivar confirmed_at_s: when the worker confirmed the start or stop, 0 before.
         From then on the worker lists the run until it has ended.
     :ivar is_listed: whether the worker has listed the run to this leader.
+    :ivar has_usual_lease: whether the worker has listed it while its lease was
+        no longer than a successor waits for. No stray order extends it then.
     :ivar is_whole: whether this leader ordered it, without a checkpoint.
     """
 
@@ -77,6 +79,7 @@
     created_at_s: float
     confirmed_at_s: float = 0
     is_listed: bool = False
+    has_usual_lease: bool = False
     is_whole: bool = False
     ticket: str = ''
 
@@ -118,8 +121,8 @@
     :ivar waiting: indices of the tasks that have no run and are not done.
     :ivar inherited: placements by an earlier leader on workers whose runs are
         not known yet, by the index of the task.
-    :ivar inherited_listed: tasks with such a placement whose worker has listed
-        the run to an earlier leader.
+    :ivar usual_leases: tasks with such a placement whose run had a usual lease
+        under an earlier leader.
     :ivar counted_attempt: attempt number of the last counted failed run of a
         gang, 0 for none.
     :ivar allowed: answers of the placement service by worker.
@@ -173,7 +176,7 @@
     remaining_s: float = 0
     done_count: int = 0
     inherited: dict[int, Placement] = attrs.field(factory=dict)
-    inherited_listed: frozenset[int] = frozenset()
+    usual_leases: frozenset[int] = frozenset()
     counted_attempt: int = 0
     allowed: dict[str, bool] = attrs.field(factory=dict)
     tickets: dict[str, tuple[str, float]] = attrs.field(factory=dict)
@@ -309,7 +312,9 @@
             },
             counted_attempt=self.counted_attempt,
             placed=placed,
-            listed=tuple(index for index in placed if self._is_listed(index)),
+            usual_leases=tuple(
+                index for index in placed if self._has_usual_lease(index)
+            ),
         )
 
     def restore(self, record: StageRecord) -> None:
@@ -330,7 +335,7 @@
         for index, placement in record.placed.items():
             self.waiting.discard(index)
             self.inherited[index] = placement
-        self.inherited_listed = frozenset(record.listed)
+        self.usual_leases = frozenset(record.usual_leases)
 
     def _counting_index(self, index: int) -> int:
         """Return the task at which the failed runs of a task are counted."""
@@ -353,12 +358,12 @@
             first_task.last_attempt, self.counted_attempt
         )
 
-    def _is_listed(self, index: int) -> bool:
-        """Tell whether the worker of a placed task has listed its run."""
+    def _has_usual_lease(self, index: int) -> bool:
+        """Tell whether the lease of a placed task is a usual one."""
         if index in self.inherited:
-            return index in self.inherited_listed
+            return index in self.usual_leases
         run = self.tasks[index].run
-        return run is not None and run.is_listed
+        return run is not None and run.has_usual_lease
 
     def _placements(self) -> dict[int, Placement]:
         placed = dict(self.inherited)
--- a/packages/currantreach-jobs/src/currantreach_jobs/_records.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_records.py
@@ -154,8 +154,9 @@
         counted there, 0 if none is or if a daemon of an earlier build has
         counted it.
     :ivar placed: placements by task index, of tasks that may have a run.
-    :ivar listed: those of them whose worker has listed the run. Only an order
-        that was never listed may have reached a later process of the worker.
+    :ivar usual_leases: those of them whose worker has listed the run while its
+        lease was no longer than a successor waits for. A stray order may have
+        started any other run in a later process, or extended its lease.
     """
 
     is_done: bool = False
@@ -163,7 +164,7 @@
     failures: dict[int, int] = attrs.field(factory=dict)
     counted_attempt: int = 0
     placed: dict[int, Placement] = attrs.field(factory=dict)
-    listed: tuple[int, ...] = ()
+    usual_leases: tuple[int, ...] = ()
 
     @property
     def has_ends(self) -> bool:
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_process.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_process.py
@@ -61,6 +61,15 @@
         """
         return max(self.leases_expire_at_s, self._stray_leases_expire_at_s)
 
+    def has_usual_lease(self, now_s: float) -> bool:
+        """Tell whether a successor elected from now on waits for its lease.
+
+        A stray order may have extended it further before the process has seen
+        the token.
+        """
+        waited_s = self._settings.inherited_lease_s
+        return self.leases_expire_at_s <= now_s + waited_s
+
     def observe(self, reply: HoldReply, now_s: float) -> bool:
         """Apply the answer to a call with the present token.
 
--- a/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_worker_session.py
@@ -374,11 +374,12 @@
         self._stop_orphans_and_unconfirmed(
             worker, set(listed) - set(worker.runs)
         )
+        has_usual_lease = self._process.has_usual_lease(self._clock.now_s())
         for run in worker.running():
             found_run = listed.get((run.task, run.attempt))
             if found_run is None:
                 continue
-            self._cluster.mark_listed(run)
+            self._cluster.mark_listed(run, has_usual_lease)
             if found_run.checkpoint:
                 task = run.stage.tasks[run.task.index]
                 task.checkpoint = found_run.checkpoint
--- a/packages/currantreach-jobs/tests/test_double_losses.py
+++ b/packages/currantreach-jobs/tests/test_double_losses.py
@@ -167,3 +167,48 @@
         assert fleet.clock.now_s() - carried_out_at_s > 10
 
     run_scenario(scenario)
+
+
+def test_run_adopted_from_a_stray_start_is_waited_for(
+    run_scenario, open_cell, wait_until, job
+):
+    """A stray start that a leader has adopted must not run beside the next run.
+
+    Its lease is the longest one that the worker grants, whatever the leader
+    that has listed the run asks for. That leader resigns at once, and the next
+    one never reaches the worker.
+    """
+
+    async def scenario(fleet, cell):
+        first, _ = await open_cell(fleet, cell)
+        await asyncio.sleep(60)
+        for name in ('w1', 'w2', 'w3'):
+            fleet.workers[name].is_draining = True
+        worker = fleet.workers['w0']
+        worker.late_starts = 100
+        await first.submissions.submit(job('stray', is_lasting=True))
+        await wait_until(lambda: worker.delayed)
+        first.kill()
+        worker.unreachable_from = {'a', 'b', 'c'}
+        worker.restart()
+        await wait_until(cell.scheduling_daemon)
+        second = cell.scheduling_daemon()
+        worker.late_starts = 0
+        worker.carry_out()
+        worker.unreachable_from = set()
+        await wait_until(lambda: is_adopted(second, 'stray'))
+        await asyncio.sleep(0.1)
+        worker.unreachable_from = {'a', 'b', 'c'}
+        await second.scheduler.resign()
+        second.kill()
+        for name in ('w1', 'w2', 'w3'):
+            fleet.workers[name].is_draining = False
+        await wait_until(lambda: len(starts_of(fleet, 'stray')) == 2)
+
+    run_scenario(scenario)
+
+
+def is_adopted(daemon, job_id):
+    """Tell whether a leader has a run of a job."""
+    progress = daemon.scheduler.cluster.jobs.get(job_id)
+    return progress is not None and progress.stages[0, 0].tasks[0].run
