Keep work on a fleet with room from overtaking a gang again and again

What callers may see: a gang waits for good on a fleet that is mostly free, as other work keeps taking the workers that are reserved for it; and a service on a queue with a placement service waits for a gang, as only forbidden workers have other room.

Cause: work may overtake a gang whose start is more than 5 s away, by the latest forecast. What overtakes delays the forecast, so with work of 10 s the start was never near. The second fault was found by reading: workers that the placement service forbids counted as room.

Change: a start is near by the earliest expected time so far, from 5 s before to 10 s after it. Forbidden workers do not count as room.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_borrowing.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_borrowing.py
@@ -14,15 +14,17 @@
     'is_imminent',
     'may_borrow',
     'may_overtake',
+    'update_target',
 )
 
 # With capacity to spare, no work waits for much longer than this for the sake
 # of a gang that cannot start soon.
 _OVERTAKING_WAIT_S = 2
-# A gang that is expected to start within this time keeps the capacity that it
-# waits for. Runs of a few seconds that follow each other thus cannot keep it
-# from starting.
+# A gang is not overtaken from this time before its expected start on.
 _IMMINENT_START_S = 5
+# If it has not started this long after, runs take longer than expected, and it
+# is overtaken again until its next expected start.
+_OVERDUE_START_S = 10
 
 
 def may_borrow(
@@ -62,7 +64,7 @@
     """
     if stage.step.is_lasting:
         return True
-    if not has_spare or is_imminent(worker.reserved_start_s, now_s):
+    if not has_spare or is_imminent(worker.reserved_target_s, now_s):
         return False
     return has_waited_to_overtake(stage, now_s)
 
@@ -72,6 +74,26 @@
     return now_s - stage.wait_began_s >= _OVERTAKING_WAIT_S
 
 
-def is_imminent(start_s: float, now_s: float) -> bool:
-    """Tell whether an expected start, 0 if it is not known, is near."""
-    return bool(start_s) and start_s - now_s <= _IMMINENT_START_S
+def update_target(stage: Stage, start_s: float, now_s: float) -> float:
+    """Return the time from which a stage must not be overtaken, and keep it.
+
+    It is the earliest expected start, as work that overtakes the stage delays
+    the later ones. Otherwise work that arrives all the time would keep it from
+    starting.
+
+    :param start_s: when the stage is expected to start by now, 0 if that is not
+        known.
+    """
+    is_over = now_s > stage.target_start_s + _OVERDUE_START_S
+    if not start_s or not stage.target_start_s or is_over:
+        stage.target_start_s = start_s
+    stage.target_start_s = min(stage.target_start_s, start_s)
+    return stage.target_start_s
+
+
+def is_imminent(target_s: float, now_s: float) -> bool:
+    """Tell whether a stage must not be overtaken any more.
+
+    :param target_s: its earliest expected start, 0 if it is not known.
+    """
+    return bool(target_s) and now_s >= target_s - _IMMINENT_START_S
--- a/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_decider.py
@@ -9,7 +9,11 @@
 
 from typing import TYPE_CHECKING
 
-from currantreach_jobs._borrowing import has_waited_to_overtake, is_imminent
+from currantreach_jobs._borrowing import (
+    has_waited_to_overtake,
+    is_imminent,
+    update_target,
+)
 from currantreach_jobs._capacity_forecast import ForecastCalculator
 from currantreach_jobs._job_paths import update_paths
 from currantreach_jobs._lookahead import AdviceLookahead
@@ -226,7 +230,8 @@
         self._priority_boost.record_reservation(now_s)
         self._blocked_team = team.name
         start_s = self._forecasts.team_start_s(stage, team, now_s)
-        self._is_team_needed_soon = is_imminent(start_s, now_s)
+        target_s = update_target(stage, start_s, now_s)
+        self._is_team_needed_soon = is_imminent(target_s, now_s)
 
     def _place(self, stage: Stage, now_s: float) -> WaitReason | None:
         """Start the tasks that fit; return why the others wait.
--- a/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_placement.py
@@ -77,7 +77,7 @@
             fitting.append(candidate)
         else:
             reserved.append(candidate)
-    if reserved and not fits(stage, fitting, stage.min_start_count):
+    if reserved and not _fits_allowed(stage, fitting):
         fitting.extend(
             worker
             for worker in reserved
@@ -124,6 +124,16 @@
     return False
 
 
+def _fits_allowed(stage: Stage, workers: Iterable[WorkerState]) -> bool:
+    """Tell whether a start fits on workers that are not known as forbidden."""
+    allowed = (
+        worker
+        for worker in workers
+        if stage.allowed.get(worker.report.worker_id, True)
+    )
+    return fits(stage, allowed, stage.min_start_count)
+
+
 def max_fitting_count(stage: Stage, worker: WorkerState) -> int:
     """Return how many tasks of a stage fit once other tasks have ended.
 
--- a/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_progress.py
@@ -137,6 +137,8 @@
     :ivar advice_call_count: advice calls made so far.
     :ivar expected_start_s: when enough capacity is expected on workers that are
         known to be allowed, 0 if it is not known.
+    :ivar target_start_s: earliest expected start so far, 0 if it is not known;
+        it is replaced some time after it has passed.
     :ivar awaited_since_s: since when this capacity is less than a call away, 0
         if it is not.
     :ivar retry_at_s: end of the pause after a start that had no effect.
@@ -183,6 +185,7 @@
     advice_deadline_s: float = 0
     advice_call_count: int = 0
     expected_start_s: float = 0
+    target_start_s: float = 0
     awaited_since_s: float = 0
     retry_at_s: float = 0
     next_search_at_s: float = 0
--- a/packages/currantreach-jobs/src/currantreach_jobs/_reservations.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_reservations.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from currantreach_jobs._borrowing import update_target
 from currantreach_jobs._placement import max_fitting_count
 
 if TYPE_CHECKING:
@@ -105,10 +106,13 @@
         if not reserved_workers:
             return False
         self._reservable_count -= len(reserved_workers)
+        start_s = forecast.start_s if forecast else 0
+        target_s = update_target(stage, start_s, now_s)
         for worker in reserved_workers:
             worker.reserved_by = stage
             worker.reserved_until_s = now_s + _RESERVATION_S
-            worker.reserved_start_s = forecast.start_s if forecast else 0
+            worker.reserved_start_s = start_s
+            worker.reserved_target_s = target_s
             # On a busy fleet nothing may delay a boosted stage, whose wait is
             # bounded.
             worker.is_reserved_strictly = is_boosted
--- a/packages/currantreach-jobs/src/currantreach_jobs/_usage.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_usage.py
@@ -74,6 +74,8 @@
     :ivar reserved_by: stage for which capacity that becomes free is reserved.
     :ivar reserved_start_s: when that stage is expected to start, 0 if it is not
         known.
+    :ivar reserved_target_s: earliest expected start of that stage so far, 0 if
+        it is not known.
     :ivar is_reserved_strictly: whether other stages may use that capacity only
         while the service has capacity to spare.
     :ivar paused_until_s: end of the pause after a streak of failures.
@@ -95,6 +97,7 @@
     reserved_by: object | None = None
     reserved_until_s: float = 0
     reserved_start_s: float = 0
+    reserved_target_s: float = 0
     is_reserved_strictly: bool = False
     is_listed: bool = True
     is_evacuated: bool = False
--- a/packages/currantreach-jobs/tests/test_overtaking.py
+++ b/packages/currantreach-jobs/tests/test_overtaking.py
@@ -11,6 +11,7 @@
 import pytest
 
 from currantreach_jobs import SiteConfig, Team
+from currantreach_jobs._placement import eligible_workers
 from currantreach_types import Resources
 
 STEP_S = 0.05
@@ -174,8 +175,11 @@
     assert limited.waited_s('other') <= MAX_WAIT_S
 
 
-@pytest.mark.parametrize('estimate_s', [1, 3, 4.5])
-def test_gang_starts_beside_a_stream_of_work(fleet, estimate_s):
+@pytest.mark.parametrize(
+    ('estimate_s', 'interval_s'),
+    [(1, 0.7), (3, 0.7), (4.5, 0.7), (7, 1.5), (10, 2.5)],
+)
+def test_gang_starts_beside_a_stream_of_work(fleet, estimate_s, interval_s):
     """Short work that keeps arriving must not keep a gang from starting.
 
     Less than half of the fleet is in use, and the gang needs all workers.
@@ -183,13 +187,18 @@
     for name in NAMES:
         fleet.occupy(f'first-{name}', name, needed=LARGE, estimate_s=3)
     fleet.add('gang', 4, needed=WIDE, is_gang=True, estimate_s=5)
-    fleet.stream(60, 0.7, needed=LARGE, estimate_s=estimate_s)
+    fleet.stream(60, interval_s, needed=LARGE, estimate_s=estimate_s)
     # The wait for the boost, and for the runs of that time.
     assert fleet.waited_s('gang') <= BOOST_S + 2 * estimate_s + MAX_WAIT_S
 
 
-@pytest.mark.parametrize('estimate_s', [1, 3, 4.5])
-def test_gang_at_the_limit_starts_beside_a_stream(fleet, estimate_s):
+@pytest.mark.parametrize(
+    ('estimate_s', 'interval_s'),
+    [(1, 0.7), (3, 0.7), (4.5, 0.7), (7, 1.5), (10, 2.5)],
+)
+def test_gang_at_the_limit_starts_beside_a_stream(
+    fleet, estimate_s, interval_s
+):
     """Short work of a team must not use up the limit that a gang waits for."""
     fleet.offline.stage_scheduler._read_config = lambda: SiteConfig(
         version=1, teams={'orchard': Team(name='orchard', limit=LIMIT)}
@@ -203,10 +212,24 @@
         is_gang=True,
         estimate_s=5,
     )
-    fleet.stream(60, 0.7, needed=LARGE, estimate_s=estimate_s)
+    fleet.stream(60, interval_s, needed=LARGE, estimate_s=estimate_s)
     assert fleet.waited_s('gang') <= BOOST_S + 2 * estimate_s + MAX_WAIT_S
 
 
+def test_forbidden_workers_are_no_alternative(blocked):
+    """A service waits for a gang as only forbidden workers have other room."""
+    service = blocked.add('service', needed=SMALL, is_lasting=True)
+    service.allowed['w1'] = False
+    workers = list(blocked.offline.cluster.workers.values())
+    workers[0].reserved_by = None
+    now_s = blocked.offline.clock.now_s()
+    names = {
+        worker.report.worker_id
+        for worker in eligible_workers(service, workers, now_s)
+    }
+    assert names == set(NAMES)
+
+
 def test_busy_fleet_keeps_the_reservation(blocked):
     """Without room to spare, a boosted gang must not be overtaken."""
     for name in NAMES:
