--- a/packages/currantreach-jobs/tests/test_overtaking.py
+++ b/packages/currantreach-jobs/tests/test_overtaking.py
@@ -25,7 +25,7 @@
 # No task of the gang fits beside it.
 LARGE = Resources(cpu_milli=5000, memory_mib=100)
 NAMES = ('w1', 'w2', 'w3', 'w4')
-# The gang may not run beside the long runs, and needs less than half of it.
+# The gang does not fit into it beside the long runs, which use less than half.
 LIMIT = Resources(cpu_milli=60000)
 KINDS = {
     'service': {'needed': LARGE, 'is_lasting': True},
