Share the observation of paces and the limit of the team in tests

Cause: two tests of shared workers repeated the loop that checks the target of a service, two of overtaking the configuration of a limit, and _pacing exported a constant that only it uses.

Assertions, bounds and behaviour are the same.

--- a/packages/currantreach-jobs/src/currantreach_jobs/_pacing.py
+++ b/packages/currantreach-jobs/src/currantreach_jobs/_pacing.py
@@ -19,9 +19,9 @@
     from currantreach_jobs._usage import WorkerState
     from currantreach_types import Clock
 
-__all__ = ('MAX_PERCENT', 'FillPacer', 'PaceOrder', 'PaceOrders')
+__all__ = ('FillPacer', 'PaceOrder', 'PaceOrders')
 
-MAX_PERCENT = 100
+_MAX_PERCENT = 100
 # Above this fraction of its target, the tail of a service is about to miss it.
 _HIGH_TAIL = 0.8
 # Below this fraction there is room for more best-effort work.
@@ -66,7 +66,7 @@
 
     def __init__(self) -> None:
         """Start at full pace, as a new run does."""
-        self.percent = MAX_PERCENT
+        self.percent = _MAX_PERCENT
         self._settled_at_s: float = 0
         # Paces that the worker has confirmed; other runs have the full pace.
         self._confirmed: dict[tuple[TaskKey, int], int] = {}
@@ -112,7 +112,7 @@
         }
         self._forget_unsure(now_s)
         tail_ratio = _worst_tail_ratio(steps, listed)
-        percent = MAX_PERCENT
+        percent = _MAX_PERCENT
         if tail_ratio is not None:
             self._adjust(tail_ratio, now_s, worker)
             percent = self.percent
@@ -121,7 +121,7 @@
             for key in listed
             if key in steps
             and steps[key].is_filling
-            and self._confirmed.get(key, MAX_PERCENT) != percent
+            and self._confirmed.get(key, _MAX_PERCENT) != percent
         ]
 
     def _forget_unsure(self, now_s: float) -> None:
@@ -149,7 +149,7 @@
         elif tail_ratio > _HIGH_TAIL:
             self.percent //= 2
         elif tail_ratio < _LOW_TAIL:
-            self.percent = min(MAX_PERCENT, self.percent + _STEP_PERCENT)
+            self.percent = min(_MAX_PERCENT, self.percent + _STEP_PERCENT)
         if self.percent == former:
             return
         self._settled_at_s = now_s + _SETTLE_S
--- a/packages/currantreach-jobs/tests/test_overtaking.py
+++ b/packages/currantreach-jobs/tests/test_overtaking.py
@@ -63,6 +63,12 @@
         stage = self.add(job_id, **step)
         self.begin(self.offline.cluster.create_run(stage, 0, worker_id, 1))
 
+    def limit_team(self):
+        """Set the limit of the team of all jobs."""
+        self.offline.stage_scheduler._read_config = lambda: SiteConfig(
+            version=1, teams={'orchard': Team(name='orchard', limit=LIMIT)}
+        )
+
     def begin(self, run):
         """Confirm the start of a run, and plan its end."""
         now_s = self.offline.clock.now_s()
@@ -126,9 +132,7 @@
 
     The gang fits on the workers, but not beside the long runs of its team.
     """
-    fleet.offline.stage_scheduler._read_config = lambda: SiteConfig(
-        version=1, teams={'orchard': Team(name='orchard', limit=LIMIT)}
-    )
+    fleet.limit_team()
     for name in NAMES[:2]:
         fleet.occupy(
             f'long-{name}',
@@ -200,9 +204,7 @@
     fleet, estimate_s, interval_s
 ):
     """Short work of a team must not use up the limit that a gang waits for."""
-    fleet.offline.stage_scheduler._read_config = lambda: SiteConfig(
-        version=1, teams={'orchard': Team(name='orchard', limit=LIMIT)}
-    )
+    fleet.limit_team()
     for name in NAMES:
         fleet.occupy(f'first-{name}', name, needed=LARGE, estimate_s=3)
     fleet.add(
--- a/packages/currantreach-jobs/tests/test_shared_workers.py
+++ b/packages/currantreach-jobs/tests/test_shared_workers.py
@@ -47,6 +47,25 @@
     return None
 
 
+async def observe_paces(fleet, worker, step_count):
+    """Return the paces of the best-effort task over some time.
+
+    The service beside it must not be above its target for too long.
+    """
+    over_since_s = None
+    percents = []
+    for _ in range(step_count):
+        await asyncio.sleep(0.05)
+        now_s = fleet.clock.now_s()
+        if worker.tail_ms('service') <= TARGET_MS:
+            over_since_s = None
+        elif over_since_s is None:
+            over_since_s = now_s
+        assert now_s - (over_since_s or now_s) < MAX_HARM_S
+        percents.append(worker.paces.get('fill', 100))
+    return percents
+
+
 @pytest.fixture
 def open_cell(wait_until):
     """Return a function that starts a cell with some workers."""
@@ -140,17 +159,7 @@
     async def scenario(fleet, cell):
         await open_shared_cell(fleet, cell, 30, disturbed_ms)
         worker = fleet.workers['w0']
-        over_since_s = None
-        percents = []
-        for _ in range(600):
-            await asyncio.sleep(0.05)
-            now_s = fleet.clock.now_s()
-            if worker.tail_ms('service') <= TARGET_MS:
-                over_since_s = None
-            elif over_since_s is None:
-                over_since_s = now_s
-            assert now_s - (over_since_s or now_s) < MAX_HARM_S
-            percents.append(worker.paces.get('fill', 100))
+        percents = await observe_paces(fleet, worker, 600)
         # Best effort gets what the service leaves unused.
         assert max(percents[300:]) > 0
 
@@ -220,15 +229,7 @@
         worker = fleet.workers['w0']
         await wait_until(lambda: worker.paces.get('fill') == 0)
         worker.travel_times_s['pace'] = [travel_s]
-        over_since_s = None
-        for _ in range(400):
-            await asyncio.sleep(0.05)
-            now_s = fleet.clock.now_s()
-            if worker.tail_ms('service') <= TARGET_MS:
-                over_since_s = None
-            elif over_since_s is None:
-                over_since_s = now_s
-            assert now_s - (over_since_s or now_s) < MAX_HARM_S
+        await observe_paces(fleet, worker, 400)
 
     run_scenario(scenario)
 
